--- /dev/null
+++ b/src/main/java/amberpath/Arrivals.java
@@ -0,0 +1,57 @@
+package amberpath;
+
+/** All that came in at a gateway in one round, replayed in order. Small indices stand for caches and services. */
+public interface Arrivals {
+  void replay(Events to);
+
+  enum Listing { CHANGES, FULL, NONE }
+
+  enum State { UP, DRAINING, GONE }
+
+  /** How a forward ended. */
+  enum Outcome {
+    RETURNED(false), ERRORED(false), TURNED_AWAY(true), NO_ANSWER(false), NO_CONNECTION(true), LOST(false),
+    CALLED_OFF(false), NOT_SENT(true), NOT_STORED(true);
+
+    /** Whether the outcome proves that the GET had no effect. */
+    public final boolean notRun;
+
+    Outcome(boolean notRun) {
+      this.notRun = notRun;
+    }
+  }
+
+  /** What an answer tells of the way it came. */
+  enum Note {
+    NOTHING, HIT, FILLED, FILLED_BY_ORIGIN, JOINED, PAST_FRESH, SOURCE_TURNED_AWAY, SOURCE_UNREACHED, SOURCE_LACKS,
+    NO_PLACE, ORIGIN_ERRORED
+  }
+
+  /** The callbacks. */
+  interface Events {
+    /** A list of caches begins; its members follow, then {@link #listed}. */
+    void listing(Listing what);
+
+    void member(int cache, String address, String zone, String kind, int cell, State state, double weight,
+        long startedAt);
+
+    void listed();
+
+    /** A GET came in. timeLeft is how long its viewer still waits; kb is 0 where the size is not told. */
+    void get(long id, int ds, long object, int group, int part, long timeLeft, double kb, boolean write);
+
+    /** A streamed answer has begun. */
+    void begun(long id, int copy);
+
+    /** A forward has ended; settled tells that the GET has, too. */
+    void ended(long id, int copy, int cache, Outcome outcome, long took, boolean settled, Note note);
+
+    /** The viewer left. */
+    void left(long id);
+
+    /** An object, or with object 0 a whole group, was purged this long ago. */
+    void purged(long object, int group, long ago);
+
+    void woken(String handle);
+  }
+}
--- /dev/null
+++ b/src/main/java/amberpath/Decisions.java
@@ -0,0 +1,33 @@
+package amberpath;
+
+/** Takes a gateway's decisions, in the order in which they are to be carried out. Times are nanoseconds. */
+public interface Decisions {
+  /** Switches of a forward, to be added up. */
+  int JOIN = 1;
+  int HELD_ONLY = 2;
+  int PARENT_KEEPS_NONE = 4;
+  int RENEW = 8;
+
+  /**
+   * Sends a GET to a cache.
+   *
+   * @param until clock time at which to give this forward up
+   * @param source who fills a miss; the cache itself for no fill
+   * @param age the oldest copy that will do; 0 for the delivery service's fresh time
+   * @param rank rank of the copy kept, 1 to 3; 0 keeps none
+   */
+  void forward(long get, int cache, long until, int source, long age, int rank, int switches);
+
+  /** Final answer: not run, safe to try again, best after the given wait (0: no advice). */
+  void shed(long get, long wait);
+
+  /** Final answer that promises nothing. */
+  void errored(long get);
+
+  void callOff(long get, int copy);
+
+  void wake(long delay, String handle);
+
+  /** Asks for changes of the list from now on. */
+  void watchList();
+}
