--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -21,7 +21,8 @@
  * 2. cold ramp: one that has just started gets a thin slice of the keys that widens, and a budget;
  * 3. further forwards: after an end that permits one, or when stuck at one set aside, a capped share of the GETs;
  * 4. detour of source: the next parent by hash, then the origin;
- * 5. spreading: a cache holding far more than its part passes GETs to the next by hash;
+ * 5. limit: a cache holds no more GETs than come back in time; past its part it passes them to the next by hash,
+ *    and where none has room they are shed, the least revenue for the work first;
  * 6. late rank: a first start is kept at the lowest rank until it is asked for again.
  */
 public final class Control implements Arrivals.Events {
@@ -52,9 +53,14 @@
   private static final double FURTHER_SAVED = 40;
   private static final long LEAST_LEFT = 20 * MS;
 
-  // Spreading.
+  // Limit: past CROWDED times its part (and some) a cache passes on; the rest follow answers in time and late.
   private static final double CROWDED = 1.75;
   private static final double CROWD = 4;
+  private static final double LIMIT = 24;
+  private static final double LEAST_LIMIT = 3;
+  private static final double LATE_CUT = 0.85;
+  private static final long CUT_EVERY = 200 * MS;
+  private static final double DEAR = 1.5;
 
   private final Site site;
   private final Service[] services;
@@ -189,10 +195,22 @@
   /** The edge cache: by hash of object and segment, over the caches of the zone that will take it. */
   private Member cache(Get get) {
     Member best = first(caches, get, get.segment, true, true);
-    if (best == null) {
-      best = first(caches, get, get.segment, true, false);
+    if (best != null) {
+      return best;
     }
-    return best != null ? best : first(caches, get, get.segment, false, false);
+    best = first(caches, get, get.segment, true, false);
+    best = best != null ? best : first(caches, get, get.segment, false, false);
+    return best != null && best.open < best.limit * dear(get.service) ? best : null;
+  }
+
+  /** By how much a delivery service may pass the limit: those with the most revenue for the work come last. */
+  private double dear(Service service) {
+    for (Service other : services) {
+      if (other.revenue / other.work() > 1.5 * service.revenue / service.work()) {
+        return 1;
+      }
+    }
+    return DEAR;
   }
 
   /** The source of a fill: by hash of the object over all listed parents; the origin when none will do. */
@@ -212,6 +230,7 @@
     Member best = null;
     double highest = -1;
     double crowd = room ? crowd(among) : 0;
+    double dear = dear(get.service);
     for (Member member : among) {
       if (!member.up || get.tried.contains(member) || !get.permits(member, now)) {
         continue;
@@ -219,7 +238,8 @@
       long key = mix(get.object * 31 + segment ^ member.hash);
       double score = (sized ? member.weight : 1) / -Math.log(unit(key));
       if (score > highest && (!standing || takes(member, unit(mix(key + 1))))
-          && (!room || member.open <= crowd * (sized ? member.weight : 1)) && affords(member, get.service)) {
+          && (!room || member.open <= crowd * (sized ? member.weight : 1) && member.open < member.limit * dear)
+          && affords(member, get.service)) {
         best = member;
         highest = score;
       }
@@ -326,6 +346,9 @@
           alive(forward.source, forward.sentAt);
         }
         service.returned(note, took);
+        if (note == Arrivals.Note.HIT || note == Arrivals.Note.NOTHING) {
+          forward.cache.limit(now, took <= forward.patience);
+        }
         break;
       case TURNED_AWAY:
       case NOT_STORED:
@@ -377,11 +400,9 @@
       out.errored(get.id);
     }
     finish(get);
-    if (get.out == 0) {
-      gets.remove(get.id);
-    }
   }
 
+  /** Nothing more is owed; a GET is held on only to learn from the forwards that are still out. */
   private void finish(Get get) {
     get.done = true;
     for (Forward forward : get.forwards) {
@@ -389,6 +410,9 @@
         out.callOff(get.id, forward.copy);
       }
     }
+    if (get.out == 0) {
+      gets.remove(get.id);
+    }
   }
 
   @Override
@@ -396,9 +420,6 @@
     Get get = gets.get(id);
     if (get != null && !get.done) {
       finish(get);
-      if (get.out == 0) {
-        gets.remove(id);
-      }
     }
   }
 
@@ -598,7 +619,7 @@
     final Site.Effect effect;
     final Site.Group group;
     final long window, objective;
-    final double stretch;
+    final double stretch, revenue;
     final boolean neverKept;
     final long fresh;
     final int[] took = new int[24];
@@ -612,6 +633,7 @@
       window = site.window(ds);
       objective = site.latencyObjective(ds);
       stretch = site.stretch(ds);
+      revenue = site.revenue(ds);
       neverKept = site.neverKept(ds);
       fresh = site.fresh(ds);
       work = objective;
@@ -667,6 +689,8 @@
     int open, late;
     long heardAt;
     double share = 1;
+    double limit = LIMIT;
+    long cutAt;
     long sharedAt, setAsideAt, trialAt;
     long pause = PAUSE;
     double spent;
@@ -686,6 +710,16 @@
           : coldShare + (1 - coldShare) * Math.max(0, since) / (double) coldTime;
     }
 
+    /** Guards against overload of any cause: late hits cut what it may hold, those in time widen it. */
+    void limit(long now, boolean inTime) {
+      if (inTime) {
+        limit += 2 * open >= limit ? 1 / limit : 0;
+      } else if (now - cutAt > CUT_EVERY) {
+        limit = Math.max(LEAST_LIMIT, limit * LATE_CUT);
+        cutAt = now;
+      }
+    }
+
     /** Work sent there in a second, over the last few. */
     double carried(long now) {
       return carried * Math.exp(-(now - carriedAt) / 4e9) / 4;
