--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -134,9 +134,6 @@
     }
     Member source = source(get);
     Member cache = get.write && site.bypass() && source != null ? source : cache(get);
-    if (cache == null && site.bypass()) {
-      cache = source;
-    }
     if (cache == null) {
       giveUp(get);
       return;
