--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -30,7 +30,7 @@
 
   // The design's own values.
   private static final int KMIN = 3;
-  private static final int TABLE = 256;
+  private static final int TABLE = 40;
   private static final int RANK = 2;
   private static final int FIRST_RANK = 1;
   private static final int STARTS = 8192;
