Past a limit on fills, return only what is held and shed the rest

Cause: misses queued on the links, parents and origin held the caches' places; hits waited behind them. Covers any cause of slow fills: scan, flush, slow origin, hot object, lost parent. May hurt: where fills are slow by distance alone, misses are shed that could have come in late for part of the revenue.

--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -30,7 +30,7 @@
 
   // The design's own values.
   private static final int KMIN = 3;
-  private static final int TABLE = 40;
+  private static final int TABLE = 96;
   private static final int RANK = 2;
   private static final int FIRST_RANK = 1;
   private static final int STARTS = 8192;
@@ -61,6 +61,7 @@
   private static final double LATE_CUT = 0.85;
   private static final long CUT_EVERY = 200 * MS;
   private static final double DEAR = 1.5;
+  private static final double UNKEPT = 0.8;
 
   private final Site site;
   private final Service[] services;
@@ -83,6 +84,8 @@
   private final Map<Long, Long> purgedObjects = new HashMap<>();
   private final Map<Integer, Long> purgedGroups = new HashMap<>();
   private final ArrayDeque<long[]> purges = new ArrayDeque<>();
+  private final Limit fillLimit = new Limit();
+  private double fills;
   private double further = FURTHER_SAVED;
   private boolean sweeping;
   private boolean watching;
@@ -132,13 +135,18 @@
     } else if (admitted(object, segment, previous)) {
       get.rank = RANK;
     }
-    Member source = source(get);
+    Member source = crowdedFills(get) ? null : source(get);
     Member cache = get.write && site.bypass() && source != null ? source : cache(get);
     if (cache == null) {
       giveUp(get);
-      return;
+    } else {
+      forward(get, cache, source);
     }
-    forward(get, cache, source);
+  }
+
+  /** Guards against a jammed fill path of any cause: past the limit a GET is returned only from what is held. */
+  private boolean crowdedFills(Get get) {
+    return !get.write && fills >= fillLimit.most * dear(get.service) * (get.rank == 0 ? UNKEPT : 1);
   }
 
   /** Notes a start; returns the object's start before it, or 0. */
@@ -197,7 +205,7 @@
     }
     best = first(caches, get, get.segment, true, false);
     best = best != null ? best : first(caches, get, get.segment, false, false);
-    return best != null && best.open < best.limit * dear(get.service) ? best : null;
+    return best != null && best.open < best.limit.most * dear(get.service) ? best : null;
   }
 
   /** By how much a delivery service may pass the limit: those with the most revenue for the work come last. */
@@ -235,7 +243,7 @@
       long key = mix(get.object * 31 + segment ^ member.hash);
       double score = (sized ? member.weight : 1) / -Math.log(unit(key));
       if (score > highest && (!standing || takes(member, unit(mix(key + 1))))
-          && (!room || member.open <= crowd * (sized ? member.weight : 1) && member.open < member.limit * dear)
+          && (!room || member.open <= crowd * (sized ? member.weight : 1) && member.open < member.limit.most * dear)
           && affords(member, get.service)) {
         best = member;
         highest = score;
@@ -271,6 +279,7 @@
     }
     charge(cache, service.work(), 1);
     if (from != cache) {
+      fills += service.missShare();
       charge(from, service.work(), service.missShare());
     }
     if (!sweeping) {
@@ -344,7 +353,9 @@
         }
         service.returned(note, took);
         if (note == Arrivals.Note.HIT || note == Arrivals.Note.NOTHING) {
-          forward.cache.limit(now, took <= forward.patience);
+          forward.cache.limit.answered(now, took <= forward.patience, forward.cache.open);
+        } else {
+          fillLimit.answered(now, took <= forward.patience, fills);
         }
         break;
       case TURNED_AWAY:
@@ -367,7 +378,16 @@
   private void tryFurther(Get get, Forward last, Arrivals.Outcome outcome, Arrivals.Note note) {
     boolean source = note == Arrivals.Note.SOURCE_TURNED_AWAY || note == Arrivals.Note.SOURCE_UNREACHED
         || note == Arrivals.Note.SOURCE_LACKS || note == Arrivals.Note.ORIGIN_ERRORED;
-    get.tried.add(source ? last.source : last.cache);
+    boolean heldOnly = outcome == Arrivals.Outcome.NOT_STORED && last.source == last.cache;
+    if (heldOnly && crowdedFills(get)) {
+      giveUp(get);
+      return;
+    }
+    if (heldOnly) {
+      further++;
+    } else {
+      get.tried.add(source ? last.source : last.cache);
+    }
     if (outcome == Arrivals.Outcome.NO_ANSWER || !again(get)) {
       giveUp(get);
     }
@@ -378,7 +398,7 @@
     if (get.streaming || get.due - now < LEAST_LEFT || get.forwards.size() >= site.maxForwards() || further < 1) {
       return false;
     }
-    Member source = source(get);
+    Member source = crowdedFills(get) ? null : source(get);
     Member cache = get.write && site.bypass() && source != null ? source : cache(get);
     if (cache == null) {
       return false;
@@ -500,7 +520,10 @@
     for (Member member : members.values()) {
       member.late = 0;
     }
+    fills = 0;
     for (Forward forward : open) {
+      boolean late = now > forward.sentAt + forward.patience / 3;
+      fills += forward.source == forward.cache ? 0 : late ? 1 : forward.get.service.missShare();
       if (!forward.get.done && now > forward.sentAt + forward.patience) {
         forward.cache.late++;
         if (forward.source != forward.cache && forward.cache.heardAt > forward.sentAt + forward.patience) {
@@ -670,6 +693,21 @@
     }
   }
 
+  /** How much may be out at once. Guards against overload of any cause: late answers cut it, others widen it. */
+  private static final class Limit {
+    double most = LIMIT;
+    long cutAt;
+
+    void answered(long now, boolean inTime, double out) {
+      if (inTime) {
+        most += 2 * out >= most ? 1 / most : 0;
+      } else if (now - cutAt > CUT_EVERY) {
+        most = Math.max(LEAST_LIMIT, most * LATE_CUT);
+        cutAt = now;
+      }
+    }
+  }
+
   private static final class Member {
     final int index;
     final long hash;
@@ -686,8 +724,7 @@
     int open, late;
     long heardAt;
     double share = 1;
-    double limit = LIMIT;
-    long cutAt;
+    final Limit limit = new Limit();
     long sharedAt, setAsideAt, trialAt;
     long pause = PAUSE;
     double spent;
@@ -707,16 +744,6 @@
           : coldShare + (1 - coldShare) * Math.max(0, since) / (double) coldTime;
     }
 
-    /** Guards against overload of any cause: late hits cut what it may hold, those in time widen it. */
-    void limit(long now, boolean inTime) {
-      if (inTime) {
-        limit += 2 * open >= limit ? 1 / limit : 0;
-      } else if (now - cutAt > CUT_EVERY) {
-        limit = Math.max(LEAST_LIMIT, limit * LATE_CUT);
-        cutAt = now;
-      }
-    }
-
     /** Work sent there in a second, over the last few. */
     double carried(long now) {
       return carried * Math.exp(-(now - carriedAt) / 4e9) / 4;
