--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -85,7 +85,9 @@
   private final Map<Integer, Long> purgedGroups = new HashMap<>();
   private final ArrayDeque<long[]> purges = new ArrayDeque<>();
   private final Limit fillLimit = new Limit();
+  private final Limit originLimit = new Limit();
   private double fills;
+  private double originFills;
   private double further = FURTHER_SAVED;
   private boolean sweeping;
   private boolean watching;
@@ -135,18 +137,27 @@
     } else if (admitted(object, segment, previous)) {
       get.rank = RANK;
     }
-    Member source = crowdedFills(get) ? null : source(get);
-    Member cache = get.write && site.bypass() && source != null ? source : cache(get);
-    if (cache == null) {
+    if (!place(get)) {
       giveUp(get);
-    } else {
-      forward(get, cache, source);
     }
   }
 
-  /** Guards against a jammed fill path of any cause: past the limit a GET is returned only from what is held. */
-  private boolean crowdedFills(Get get) {
-    return !get.write && fills >= fillLimit.most * dear(get.service) * (get.rank == 0 ? UNKEPT : 1);
+  /** Picks source and edge cache and forwards; false where there is none. */
+  private boolean place(Get get) {
+    Member source = crowded(get, fillLimit, fills) ? null : source(get);
+    Member cache = get.write && site.bypass() && source != null ? source : cache(get);
+    if (cache != null) {
+      forward(get, cache, source, source == null || crowded(get, originLimit, originFills));
+    }
+    return cache != null;
+  }
+
+  /**
+   * Guards against a jammed fill path or origin of any cause: past the limit on fills a GET is returned only from
+   * what its cache holds, past that on fills by way of the origin only from what its cache or the parent holds.
+   */
+  private boolean crowded(Get get, Limit limit, double out) {
+    return !get.write && out >= limit.most * dear(get.service) * (get.rank == 0 ? UNKEPT : 1);
   }
 
   /** Notes a start; returns the object's start before it, or 0. */
@@ -265,12 +276,14 @@
     return weights == 0 ? 0 : (CROWDED * held + CROWD) / weights;
   }
 
-  private void forward(Get get, Member cache, Member source) {
+  private void forward(Get get, Member cache, Member source, boolean heldOnly) {
     Member from = source == null ? cache : source;
     Service service = get.service;
-    int switches = (site.joins() ? Decisions.JOIN : 0) + (service.fresh > 0 ? Decisions.RENEW : 0);
-    out.forward(get.id, cache.index, get.due, from.index, age(get), get.rank, switches);
-    Forward sent = new Forward(get, get.forwards.size(), cache, from, now);
+    int switches = (site.joins() ? Decisions.JOIN : 0) + (heldOnly ? Decisions.HELD_ONLY : 0)
+        + (service.fresh > 0 && !heldOnly ? Decisions.RENEW : 0);
+    long age = age(get, service.fresh + (heldOnly ? service.grace : 0));
+    out.forward(get.id, cache.index, get.due, from.index, age, get.rank, switches);
+    Forward sent = new Forward(get, get.forwards.size(), cache, from, heldOnly, now);
     get.forwards.add(sent);
     get.out++;
     open.add(sent);
@@ -280,6 +293,7 @@
     charge(cache, service.work(), 1);
     if (from != cache) {
       fills += service.missShare();
+      originFills += heldOnly ? 0 : service.missShare() * service.originShare();
       charge(from, service.work(), service.missShare());
     }
     if (!sweeping) {
@@ -289,13 +303,13 @@
   }
 
   /** The oldest copy that will do. Guards against purged copies until all caches have dropped theirs. */
-  private long age(Get get) {
+  private long age(Get get, long oldest) {
     long purged = Math.max(purgedObjects.getOrDefault(get.object, 0L), purgedGroups.getOrDefault(get.group, 0L));
     if (purged == 0) {
-      return 0;
+      return oldest;
     }
     long bound = Math.max(MS, now - purged - MS);
-    return get.service.fresh > 0 ? Math.min(get.service.fresh, bound) : bound;
+    return oldest > 0 ? Math.min(oldest, bound) : bound;
   }
 
   @Override
@@ -355,7 +369,8 @@
         if (note == Arrivals.Note.HIT || note == Arrivals.Note.NOTHING) {
           forward.cache.limit.answered(now, took <= forward.patience, forward.cache.open);
         } else {
-          fillLimit.answered(now, took <= forward.patience, fills);
+          boolean direct = note != Arrivals.Note.FILLED_BY_ORIGIN;
+          (direct ? fillLimit : originLimit).answered(now, took <= forward.patience, direct ? fills : originFills);
         }
         break;
       case TURNED_AWAY:
@@ -378,12 +393,11 @@
   private void tryFurther(Get get, Forward last, Arrivals.Outcome outcome, Arrivals.Note note) {
     boolean source = note == Arrivals.Note.SOURCE_TURNED_AWAY || note == Arrivals.Note.SOURCE_UNREACHED
         || note == Arrivals.Note.SOURCE_LACKS || note == Arrivals.Note.ORIGIN_ERRORED;
-    boolean heldOnly = outcome == Arrivals.Outcome.NOT_STORED && last.source == last.cache;
-    if (heldOnly && crowdedFills(get)) {
-      giveUp(get);
-      return;
-    }
-    if (heldOnly) {
+    if (last.heldOnly && outcome == Arrivals.Outcome.NOT_STORED) {
+      if (crowded(get, fillLimit, fills) || crowded(get, originLimit, originFills)) {
+        giveUp(get);
+        return;
+      }
       further++;
     } else {
       get.tried.add(source ? last.source : last.cache);
@@ -398,14 +412,8 @@
     if (get.streaming || get.due - now < LEAST_LEFT || get.forwards.size() >= site.maxForwards() || further < 1) {
       return false;
     }
-    Member source = crowdedFills(get) ? null : source(get);
-    Member cache = get.write && site.bypass() && source != null ? source : cache(get);
-    if (cache == null) {
-      return false;
-    }
     further--;
-    forward(get, cache, source);
-    return true;
+    return place(get);
   }
 
   /** The final answer of a GET that is not returned. A shed promises that nothing ran, an error nothing. */
@@ -521,9 +529,12 @@
       member.late = 0;
     }
     fills = 0;
+    originFills = 0;
     for (Forward forward : open) {
       boolean late = now > forward.sentAt + forward.patience / 3;
-      fills += forward.source == forward.cache ? 0 : late ? 1 : forward.get.service.missShare();
+      Service service = forward.get.service;
+      fills += forward.source == forward.cache ? 0 : late ? 1 : service.missShare();
+      originFills += forward.heldOnly ? 0 : late ? 1 : service.missShare() * service.originShare();
       if (!forward.get.done && now > forward.sentAt + forward.patience) {
         forward.cache.late++;
         if (forward.source != forward.cache && forward.cache.heardAt > forward.sentAt + forward.patience) {
@@ -641,9 +652,9 @@
     final long window, objective;
     final double stretch, revenue;
     final boolean neverKept;
-    final long fresh;
+    final long fresh, grace;
     final int[] took = new int[24];
-    final int[] hits = new int[2];
+    final int[] hits = new int[3];
     private int measured;
     private long work;
 
@@ -656,6 +667,7 @@
       revenue = site.revenue(ds);
       neverKept = site.neverKept(ds);
       fresh = site.fresh(ds);
+      grace = site.grace(ds);
       work = objective;
     }
 
@@ -668,12 +680,16 @@
       return (hits[1] + 4.0) / (hits[0] + hits[1] + 8.0);
     }
 
+    double originShare() {
+      return (hits[2] + 1.0) / (hits[1] + 2.0);
+    }
+
     void returned(Arrivals.Note note, long time) {
       int hit = note == Arrivals.Note.HIT || note == Arrivals.Note.PAST_FRESH ? 0 : 1;
       hits[hit]++;
+      hits[2] += note == Arrivals.Note.FILLED_BY_ORIGIN ? 1 : 0;
       if (hits[0] + hits[1] > 512) {
-        hits[0] /= 2;
-        hits[1] /= 2;
+        Arrays.setAll(hits, i -> hits[i] / 2);
       }
       if (hit == 1) {
         return;
@@ -804,13 +820,15 @@
     final int copy;
     final Member cache;
     final Member source;
+    final boolean heldOnly;
     final long sentAt, patience;
 
-    Forward(Get get, int copy, Member cache, Member source, long sentAt) {
+    Forward(Get get, int copy, Member cache, Member source, boolean heldOnly, long sentAt) {
       this.get = get;
       this.copy = copy;
       this.cache = cache;
       this.source = source;
+      this.heldOnly = heldOnly;
       this.sentAt = sentAt;
       patience = get.service.objective + (long) (get.service.stretch * get.work);
     }
