Sources are set aside only when silent while peers are well; origin refusals cut its limit

Cause: with the origin slow, fills behind a parent ran out of time (unreached); the parents were set aside one by one and the fills went straight to the slow origin. Covers any trouble behind the parents.

--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -377,8 +377,10 @@
       case NOT_STORED:
       case ERRORED:
         forward.cache.heardAt = now;
-        if (note == Arrivals.Note.SOURCE_UNREACHED) {
-          setAside(forward.source);
+        forward.source.strikes += note == Arrivals.Note.SOURCE_UNREACHED ? 1 : 0;
+        if (note == Arrivals.Note.ORIGIN_ERRORED
+            || note == Arrivals.Note.SOURCE_TURNED_AWAY && forward.source == origin) {
+          originLimit.answered(now, false, 0);
         }
         break;
       case NO_CONNECTION:
@@ -452,6 +454,7 @@
 
   private void alive(Member member, long sentAt) {
     member.heardAt = now;
+    member.strikes = 0;
     if (member.share < 1 && sentAt >= member.setAsideAt && now - member.sharedAt >= STEP) {
       member.share = member.share == 0 ? TRICKLE : Math.min(1, member.share * 2);
       member.sharedAt = now;
@@ -467,6 +470,7 @@
       return;
     }
     member.share = 0;
+    member.strikes = 0;
     member.setAsideAt = now;
     member.sharedAt = now - STEP;
     member.trialAt = now + member.pause;
@@ -561,10 +565,10 @@
     int up = 0;
     for (Member member : peers) {
       up += member.up ? 1 : 0;
-      well += member.up && member.late < LATE && member.share > 0 ? 1 : 0;
+      well += member.up && member.late + member.strikes < LATE && member.share > 0 ? 1 : 0;
     }
     for (Member member : peers) {
-      if (member.up && member.late >= LATE && now - member.heardAt > SILENCE && 2 * well >= up) {
+      if (member.up && member.late + member.strikes >= LATE && now - member.heardAt > SILENCE && 2 * well >= up) {
         setAside(member);
       }
     }
@@ -737,7 +741,7 @@
     long coldTime;
     double fallMultiple;
     long fallTime;
-    int open, late;
+    int open, late, strikes;
     long heardAt;
     double share = 1;
     final Limit limit = new Limit();
