--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Predicate;
 
 /**
  * Decides, for one gateway, where each GET is returned from, filled from and kept. {@link #round} is called once a
@@ -21,8 +22,8 @@
  * 2. cold ramp: one that has just started gets a thin slice of the keys that widens, and a budget;
  * 3. further forwards: after an end that permits one, or when stuck at one set aside, a capped share of the GETs;
  * 4. detour of source: the next parent by hash, then the origin;
- * 5. limit: a cache holds no more GETs than come back in time; past its part it passes them to the next by hash,
- *    and where none has room they are shed, the least revenue for the work first;
+ * 5. limits: no more GETs at a cache, fills, and fills by way of the origin than come back in time; past them comes
+ *    the next cache by hash, then what is held (ageing copies too), then a shed, the least revenue for work first;
  * 6. late rank: a first start is kept at the lowest rank until it is asked for again.
  */
 public final class Control implements Arrivals.Events {
@@ -31,9 +32,9 @@
   // The design's own values.
   private static final int KMIN = 3;
   private static final int TABLE = 96;
+  private static final int STARTS = 8192;
   private static final int RANK = 2;
   private static final int FIRST_RANK = 1;
-  private static final int STARTS = 8192;
 
   // Standing.
   private static final long SWEEP = 20 * MS;
@@ -44,30 +45,35 @@
   private static final long PAUSE = 250 * MS;
   private static final long LONGEST_PAUSE = 4000 * MS;
 
-  // Cold ramp: parts of what the guarantee allows, left unused because others' traffic is not seen.
+  // Cold ramp: parts of what the guarantee allows; the rest is left for what other gateways do unseen.
   private static final double SLICE = 0.9;
   private static final double BUDGET = 0.5;
+  private static final double CARRIED_OVER = 4e9;
 
   // Further forwards: share of GETs, and how many may be saved up.
   private static final double FURTHER_SHARE = 0.2;
   private static final double FURTHER_SAVED = 40;
   private static final long LEAST_LEFT = 20 * MS;
 
-  // Limit: past CROWDED times its part (and some) a cache passes on; the rest follow answers in time and late.
+  // Limits. Past CROWDED times its part, and CROWD more, a cache passes on before its limit.
   private static final double CROWDED = 1.75;
   private static final double CROWD = 4;
-  private static final double LIMIT = 24;
+  private static final double FIRST_LIMIT = 24;
   private static final double LEAST_LIMIT = 3;
   private static final double LATE_CUT = 0.85;
   private static final long CUT_EVERY = 200 * MS;
   private static final double DEAR = 1.5;
+  private static final double DEARER = 1.5;
   private static final double UNKEPT = 0.8;
 
+  // Measurements: histograms with two bins to a doubling, halved when full.
+  private static final int BINS = 24;
+  private static final int FULL = 512;
+
   private final Site site;
   private final Service[] services;
-  private final String zone;
-  private final boolean sized;
-  private final double flow;
+  private final Cold coldCache;
+  private final Cold coldParent;
   private final SplittableRandom random;
 
   private final Map<Integer, Member> members = new HashMap<>();
@@ -83,7 +89,8 @@
   private int tabled;
   private final Map<Long, Long> purgedObjects = new HashMap<>();
   private final Map<Integer, Long> purgedGroups = new HashMap<>();
-  private final ArrayDeque<long[]> purges = new ArrayDeque<>();
+  private final ArrayDeque<Runnable> forgetting = new ArrayDeque<>();
+  private final ArrayDeque<Long> forgetAt = new ArrayDeque<>();
   private final Limit fillLimit = new Limit();
   private final Limit originLimit = new Limit();
   private double fills;
@@ -97,14 +104,11 @@
 
   public Control(Site site) {
     this.site = site;
-    zone = site.zone();
-    sized = site.weighsSizes();
-    flow = site.flowKbPerSecond();
     random = new SplittableRandom(site.seed());
     services = new Service[site.deliveryServices()];
-    for (int ds = 0; ds < services.length; ds++) {
-      services[ds] = new Service(site, ds);
-    }
+    Arrays.setAll(services, Service::new);
+    coldCache = new Cold(site.coldShare(), site.coldTime(), site.fallMultiple(), site.gatewaysHere());
+    coldParent = new Cold(site.parentColdShare(), site.parentColdTime(), site.parentFallMultiple(), site.gateways());
   }
 
   /** Takes in all that came since the last round and decides on it. */
@@ -124,14 +128,19 @@
   public void get(long id, int ds, long object, int group, int part, long timeLeft, double kb, boolean write) {
     Service service = services[ds];
     int segment = part == 0 ? 0 : Integer.SIZE - Integer.numberOfLeadingZeros(part);
-    Get get = new Get(id, service, object, group, segment, now + timeLeft);
-    get.work = kb > 0 && flow > 0 ? (long) (kb / flow * 1e9) : service.work();
+    long sending = kb > 0 && site.flowKbPerSecond() > 0 ? (long) (kb / site.flowKbPerSecond() * 1e9) : 0;
+    Get get = new Get(id, service, object, group, segment, now + timeLeft, write || site.neverKept(ds));
+    get.patience = site.latencyObjective(ds) + (long) (site.stretch(ds) * (sending > 0 ? sending : service.work()));
     gets.put(id, get);
     further = Math.min(FURTHER_SAVED, further + FURTHER_SHARE);
+    if (sending > 0) {
+      get.sized = true;
+      service.measure(sending);
+    }
 
     long previous = part == 0 ? started(object) : previousStart(object);
-    if (write || service.neverKept) {
-      get.write = true;
+    if (get.write) {
+      get.rank = 0;
     } else if (segment < KMIN) {
       get.rank = previous == 0 ? FIRST_RANK : RANK;
     } else if (admitted(object, segment, previous)) {
@@ -142,24 +151,6 @@
     }
   }
 
-  /** Picks source and edge cache and forwards; false where there is none. */
-  private boolean place(Get get) {
-    Member source = crowded(get, fillLimit, fills) ? null : source(get);
-    Member cache = get.write && site.bypass() && source != null ? source : cache(get);
-    if (cache != null) {
-      forward(get, cache, source, source == null || crowded(get, originLimit, originFills));
-    }
-    return cache != null;
-  }
-
-  /**
-   * Guards against a jammed fill path or origin of any cause: past the limit on fills a GET is returned only from
-   * what its cache holds, past that on fills by way of the origin only from what its cache or the parent holds.
-   */
-  private boolean crowded(Get get, Limit limit, double out) {
-    return !get.write && out >= limit.most * dear(get.service) * (get.rank == 0 ? UNKEPT : 1);
-  }
-
   /** Notes a start; returns the object's start before it, or 0. */
   private long started(long object) {
     long[] stamps = starts.remove(object);
@@ -208,6 +199,16 @@
     return previous == 0 ? 0 : 1.0 / (Math.max(1, now - previous) * (double) segment);
   }
 
+  /** Picks source and edge cache and forwards; false where there is none. */
+  private boolean place(Get get) {
+    Member source = crowded(get, fillLimit, fills) ? null : source(get);
+    Member cache = get.write && site.bypass() && source != null ? source : cache(get);
+    if (cache != null) {
+      forward(get, cache, source, source == null || crowded(get, originLimit, originFills));
+    }
+    return cache != null;
+  }
+
   /** The edge cache: by hash of object and segment, over the caches of the zone that will take it. */
   private Member cache(Get get) {
     Member best = first(caches, get, get.segment, true, true);
@@ -219,16 +220,6 @@
     return best != null && best.open < best.limit.most * dear(get.service) ? best : null;
   }
 
-  /** By how much a delivery service may pass the limit: those with the most revenue for the work come last. */
-  private double dear(Service service) {
-    for (Service other : services) {
-      if (other.revenue / other.work() > 1.5 * service.revenue / service.work()) {
-        return 1;
-      }
-    }
-    return DEAR;
-  }
-
   /** The source of a fill: by hash of the object over all listed parents; the origin when none will do. */
   private Member source(Get get) {
     Member best = first(parents, get, 0, true, false);
@@ -248,13 +239,13 @@
     double crowd = room ? crowd(among) : 0;
     double dear = dear(get.service);
     for (Member member : among) {
-      if (!member.up || get.tried.contains(member) || !get.permits(member, now)) {
+      if (!member.up || get.tried.contains(member) || !permits(get, member)) {
         continue;
       }
       long key = mix(get.object * 31 + segment ^ member.hash);
-      double score = (sized ? member.weight : 1) / -Math.log(unit(key));
+      double score = member.weight / -Math.log(unit(key));
       if (score > highest && (!standing || takes(member, unit(mix(key + 1))))
-          && (!room || member.open <= crowd * (sized ? member.weight : 1) && member.open < member.limit.most * dear)
+          && (!room || member.open <= crowd * member.weight && member.open < member.limit.most * dear)
           && affords(member, get.service)) {
         best = member;
         highest = score;
@@ -263,25 +254,12 @@
     return best;
   }
 
-  /** How many forwards out, for each unit of weight, are too many: guards against hot segments and slow caches. */
-  private double crowd(Member[] among) {
-    double held = 0;
-    double weights = 0;
-    for (Member member : among) {
-      if (member.up) {
-        held += member.open;
-        weights += sized ? member.weight : 1;
-      }
-    }
-    return weights == 0 ? 0 : (CROWDED * held + CROWD) / weights;
-  }
-
   private void forward(Get get, Member cache, Member source, boolean heldOnly) {
     Member from = source == null ? cache : source;
-    Service service = get.service;
+    long fresh = site.fresh(get.service.ds);
     int switches = (site.joins() ? Decisions.JOIN : 0) + (heldOnly ? Decisions.HELD_ONLY : 0)
-        + (service.fresh > 0 && !heldOnly ? Decisions.RENEW : 0);
-    long age = age(get, service.fresh + (heldOnly ? service.grace : 0));
+        + (fresh > 0 && !heldOnly ? Decisions.RENEW : 0);
+    long age = age(get, fresh + (heldOnly ? site.grace(get.service.ds) : 0));
     out.forward(get.id, cache.index, get.due, from.index, age, get.rank, switches);
     Forward sent = new Forward(get, get.forwards.size(), cache, from, heldOnly, now);
     get.forwards.add(sent);
@@ -290,11 +268,10 @@
     if (cache.open++ == 0) {
       cache.heardAt = now;
     }
-    charge(cache, service.work(), 1);
+    charge(cache, get.service.work() / 1e9);
     if (from != cache) {
-      fills += service.missShare();
-      originFills += heldOnly ? 0 : service.missShare() * service.originShare();
-      charge(from, service.work(), service.missShare());
+      count(sent, get.service.missShare());
+      charge(from, get.service.work() / 1e9 * get.service.missShare());
     }
     if (!sweeping) {
       sweeping = true;
@@ -305,11 +282,8 @@
   /** The oldest copy that will do. Guards against purged copies until all caches have dropped theirs. */
   private long age(Get get, long oldest) {
     long purged = Math.max(purgedObjects.getOrDefault(get.object, 0L), purgedGroups.getOrDefault(get.group, 0L));
-    if (purged == 0) {
-      return oldest;
-    }
     long bound = Math.max(MS, now - purged - MS);
-    return oldest > 0 ? Math.min(oldest, bound) : bound;
+    return purged > 0 && (oldest == 0 || bound < oldest) ? bound : oldest;
   }
 
   @Override
@@ -317,10 +291,12 @@
     long at = now - ago;
     if (object != 0) {
       purgedObjects.merge(object, at, Math::max);
+      forgetting.add(() -> purgedObjects.remove(object, at));
     } else {
       purgedGroups.merge(group, at, Math::max);
+      forgetting.add(() -> purgedGroups.remove(group, at));
     }
-    purges.add(new long[] {object, group, now + site.purgeTakes()});
+    forgetAt.add(now + site.purgeTakes());
   }
 
   // ---- How forwards end.
@@ -344,33 +320,36 @@
     get.out--;
     forward.cache.open--;
     learn(forward, outcome, took, note);
-    if (!outcome.notRun) {
-      get.mayHaveRun(forward);
+    if (!outcome.notRun && (get.ran == null || forward.sentAt < get.ran.sentAt)) {
+      get.ran = forward;
     }
     if (settled) {
       finish(get);
     } else if (!get.done && get.out == 0) {
       tryFurther(get, forward, outcome, note);
-    }
-    if (get.done && get.out == 0) {
+    } else if (get.done && get.out == 0) {
       gets.remove(id);
     }
   }
 
   private void learn(Forward forward, Arrivals.Outcome outcome, long took, Arrivals.Note note) {
     Service service = forward.get.service;
+    boolean inTime = took <= forward.get.patience;
     switch (outcome) {
       case RETURNED:
         alive(forward.cache, forward.sentAt);
-        if (note == Arrivals.Note.FILLED || note == Arrivals.Note.FILLED_BY_ORIGIN) {
-          alive(forward.source, forward.sentAt);
-        }
-        service.returned(note, took);
+        service.returned(note);
         if (note == Arrivals.Note.HIT || note == Arrivals.Note.NOTHING) {
-          forward.cache.limit.answered(now, took <= forward.patience, forward.cache.open);
+          forward.cache.limit.answered(now, inTime, forward.cache.open);
+          if (!forward.get.sized) {
+            service.measure(took);
+          }
+        } else if (note == Arrivals.Note.FILLED_BY_ORIGIN) {
+          alive(forward.source, forward.sentAt);
+          originLimit.answered(now, inTime, originFills);
         } else {
-          boolean direct = note != Arrivals.Note.FILLED_BY_ORIGIN;
-          (direct ? fillLimit : originLimit).answered(now, took <= forward.patience, direct ? fills : originFills);
+          alive(forward.source, forward.sentAt);
+          fillLimit.answered(now, inTime, fills);
         }
         break;
       case TURNED_AWAY:
@@ -393,18 +372,15 @@
 
   /** A further forward where the GET's kind, its time and the cap permit; else the final answer, at once. */
   private void tryFurther(Get get, Forward last, Arrivals.Outcome outcome, Arrivals.Note note) {
-    boolean source = note == Arrivals.Note.SOURCE_TURNED_AWAY || note == Arrivals.Note.SOURCE_UNREACHED
-        || note == Arrivals.Note.SOURCE_LACKS || note == Arrivals.Note.ORIGIN_ERRORED;
-    if (last.heldOnly && outcome == Arrivals.Outcome.NOT_STORED) {
-      if (crowded(get, fillLimit, fills) || crowded(get, originLimit, originFills)) {
-        giveUp(get);
-        return;
-      }
+    boolean heldOnly = last.heldOnly && outcome == Arrivals.Outcome.NOT_STORED;
+    if (heldOnly) {
       further++;
     } else {
+      boolean source = note.compareTo(Arrivals.Note.SOURCE_TURNED_AWAY) >= 0 && note != Arrivals.Note.NO_PLACE;
       get.tried.add(source ? last.source : last.cache);
     }
-    if (outcome == Arrivals.Outcome.NO_ANSWER || !again(get)) {
+    if (heldOnly && (crowded(get, fillLimit, fills) || crowded(get, originLimit, originFills))
+        || outcome == Arrivals.Outcome.NO_ANSWER || !again(get)) {
       giveUp(get);
     }
   }
@@ -420,9 +396,11 @@
 
   /** The final answer of a GET that is not returned. A shed promises that nothing ran, an error nothing. */
   private void giveUp(Get get) {
-    if (get.due - now >= LEAST_LEFT && get.shedable()) {
-      long longest = site.retryAfter() ? site.maxRetryAfter() : 0;
-      out.shed(get.id, longest == 0 ? 0 : longest / 2 + random.nextLong(longest / 2));
+    boolean again = get.ran == null && get.out == 0 || site.effect(get.service.ds) == Site.Effect.IDEMPOTENT
+        || site.effect(get.service.ds) == Site.Effect.TOKENED && site.group(get.service.ds) == Site.Group.ALL;
+    if (again && get.due - now >= LEAST_LEFT) {
+      long longest = site.retryAfter() ? site.maxRetryAfter() / 2 : 0;
+      out.shed(get.id, longest == 0 ? 0 : longest + random.nextLong(longest));
     } else {
       out.errored(get.id);
     }
@@ -450,6 +428,54 @@
     }
   }
 
+  /** Guards against an effect twice: what may have run is repeated only where its repeats are dropped. */
+  private boolean permits(Get get, Member member) {
+    int ds = get.service.ds;
+    if (get.ran == null || site.effect(ds) == Site.Effect.IDEMPOTENT) {
+      return true;
+    }
+    Member ran = get.ran.cache;
+    return site.effect(ds) == Site.Effect.TOKENED && now - get.ran.sentAt < site.window(ds)
+        && (site.group(ds) == Site.Group.ALL || member.zone.equals(ran.zone)
+        && (site.group(ds) == Site.Group.ZONE || member.cell == ran.cell));
+  }
+
+  // ---- Limits.
+
+  /**
+   * Guards against a jammed fill path or origin of any cause: past the limit on fills a GET is returned only from
+   * what its cache holds, past that on fills by way of the origin only from what its cache or the parent holds.
+   */
+  private boolean crowded(Get get, Limit limit, double held) {
+    return !get.write && held >= limit.most * dear(get.service) * (get.rank == 0 ? UNKEPT : 1);
+  }
+
+  /** By how much a delivery service may pass a limit: those with the most revenue for the work come last. */
+  private double dear(Service service) {
+    for (Service other : services) {
+      if (site.revenue(other.ds) / other.work() > DEARER * site.revenue(service.ds) / service.work()) {
+        return 1;
+      }
+    }
+    return DEAR;
+  }
+
+  /** How many forwards out, for each unit of weight, are too many: guards against hot segments and slow caches. */
+  private double crowd(Member[] among) {
+    double held = 0;
+    double weights = 0;
+    for (Member member : among) {
+      held += member.up ? member.open : 0;
+      weights += member.up ? member.weight : 0;
+    }
+    return weights == 0 ? 0 : (CROWDED * held + CROWD) / weights;
+  }
+
+  private void count(Forward forward, double likely) {
+    fills += likely;
+    originFills += forward.heldOnly ? 0 : likely < 1 ? likely * forward.get.service.originShare() : 1;
+  }
+
   // ---- Standing, ramp and budget.
 
   private void alive(Member member, long sentAt) {
@@ -458,9 +484,7 @@
     if (member.share < 1 && sentAt >= member.setAsideAt && now - member.sharedAt >= STEP) {
       member.share = member.share == 0 ? TRICKLE : Math.min(1, member.share * 2);
       member.sharedAt = now;
-      if (member.share == 1) {
-        member.pause = PAUSE;
-      }
+      member.pause = member.share == 1 ? PAUSE : member.pause;
     }
   }
 
@@ -488,35 +512,30 @@
   /** Whether this gateway's part of what a cold member can bear has room for one more. */
   private boolean affords(Member member, Service service) {
     double ramp = member.ramp(now);
-    if (ramp >= 1) {
-      return true;
-    }
-    double rate = rate(member, ramp);
-    double spent = Math.max(0, member.spent - rate * (now - member.spentAt) / 1e9);
-    return spent + service.work() / 1e9 <= rate * member.fallTime / 1e9;
+    double rate = ramp < 1 ? rate(member, ramp) : 0;
+    return ramp >= 1 || member.spent(now, rate) + service.work() / 1e9 <= rate * site.fallTime() / 1e9;
   }
 
+  /** Work a second that this gateway may send: by size where told, else by what it sends to warm peers. */
   private double rate(Member member, double ramp) {
-    Member[] peers = member.mid ? parents : caches;
     double carried = 0;
     int others = 0;
-    for (Member peer : peers) {
+    for (Member peer : member.mid ? parents : caches) {
       if (peer != member && peer.up && peer.ramp(now) >= 1) {
         carried += peer.carried(now);
         others++;
       }
     }
-    double part = sized ? member.weight / member.sharers : Math.max(1.0 / member.sharers, carried / Math.max(1, others));
-    return BUDGET * member.fallMultiple * ramp * part;
+    double part = Math.max(1.0 / member.cold.sharers, carried / Math.max(1, others));
+    return BUDGET * member.cold.fallMultiple * ramp
+        * (site.weighsSizes() ? member.weight / member.cold.sharers : part);
   }
 
-  private void charge(Member member, long work, double likely) {
+  private void charge(Member member, double work) {
     double ramp = member.ramp(now);
-    member.carry(now, work / 1e9 * likely);
-    if (ramp < 1) {
-      double rate = rate(member, ramp);
-      member.spent = Math.max(0, member.spent - rate * (now - member.spentAt) / 1e9) + work / 1e9 * likely;
-    }
+    member.carried = member.carried(now) + work * 1e9 / CARRIED_OVER;
+    member.carriedAt = now;
+    member.spent = ramp < 1 ? member.spent(now, rate(member, ramp)) + work : 0;
     member.spentAt = now;
   }
 
@@ -526,24 +545,23 @@
     if (sweeping) {
       out.wake(SWEEP, "sweep");
     }
-    while (!purges.isEmpty() && purges.peek()[2] <= now) {
-      forget(purges.poll());
-    }
-    for (Member member : members.values()) {
-      member.late = 0;
+    while (!forgetAt.isEmpty() && forgetAt.peek() <= now) {
+      forgetAt.poll();
+      forgetting.poll().run();
     }
+    members.values().forEach(member -> member.late = 0);
     fills = 0;
     originFills = 0;
     for (Forward forward : open) {
-      boolean late = now > forward.sentAt + forward.patience / 3;
-      Service service = forward.get.service;
-      fills += forward.source == forward.cache ? 0 : late ? 1 : service.missShare();
-      originFills += forward.heldOnly ? 0 : late ? 1 : service.missShare() * service.originShare();
-      if (!forward.get.done && now > forward.sentAt + forward.patience) {
+      Get get = forward.get;
+      long waited = now - forward.sentAt;
+      if (forward.source != forward.cache) {
+        count(forward, waited > get.patience / 3 ? 1 : get.service.missShare());
+      }
+      if (!get.done && waited > get.patience) {
         forward.cache.late++;
-        if (forward.source != forward.cache && forward.cache.heardAt > forward.sentAt + forward.patience) {
-          forward.source.late++;
-        }
+        boolean cacheWell = forward.cache.heardAt > forward.sentAt + get.patience;
+        forward.source.late += forward.source != forward.cache && cacheWell ? 1 : 0;
       }
     }
     judge(caches);
@@ -551,8 +569,8 @@
     for (Forward forward : new ArrayList<>(open)) {
       Get get = forward.get;
       boolean stuck = forward.cache.share == 0 || forward.source.share == 0 && forward.cache.late > 0;
-      if (stuck && !get.done && get.out == 1 && now > forward.sentAt + forward.patience && site.secondCopies()
-          && get.service.effect == Site.Effect.IDEMPOTENT) {
+      if (stuck && !get.done && get.out == 1 && now - forward.sentAt > get.patience && site.secondCopies()
+          && site.effect(get.service.ds) == Site.Effect.IDEMPOTENT) {
         get.tried.add(forward.cache.share == 0 ? forward.cache : forward.source);
         again(get);
       }
@@ -574,14 +592,6 @@
     }
   }
 
-  private void forget(long[] purge) {
-    if (purge[0] != 0) {
-      purgedObjects.computeIfPresent(purge[0], (key, at) -> at + site.purgeTakes() <= now ? null : at);
-    } else {
-      purgedGroups.computeIfPresent((int) purge[1], (key, at) -> at + site.purgeTakes() <= now ? null : at);
-    }
-  }
-
   // ---- The list of caches.
 
   @Override
@@ -593,39 +603,34 @@
   }
 
   @Override
-  public void member(int cache, String address, String where, String kind, int cell, Arrivals.State state,
+  public void member(int cache, String address, String zone, String kind, int cell, Arrivals.State state,
       double weight, long startedAt) {
     Member member = members.computeIfAbsent(cache, index -> new Member(index, hash(address)));
-    member.zone = where;
+    member.zone = zone;
     member.cell = cell;
     member.up = state == Arrivals.State.UP;
-    member.weight = Math.max(weight, 1e-3);
+    member.weight = site.weighsSizes() ? Math.max(weight, 1e-3) : 1;
+    member.mid = kind.equals(site.midKind());
+    member.origin = kind.equals(site.originKind());
+    member.cold = member.mid || member.origin ? coldParent : coldCache;
     if (startedAt > member.startedAt) {
       member.startedAt = startedAt;
       member.share = 1;
       member.pause = PAUSE;
     }
-    member.mid = kind.equals(site.midKind());
-    member.parent = member.mid || kind.equals(site.originKind());
-    member.sharers = member.parent ? Math.max(1, site.gateways()) : Math.max(1, site.gatewaysHere());
-    member.coldShare = member.parent ? site.parentColdShare() : site.coldShare();
-    member.coldTime = member.parent ? site.parentColdTime() : site.coldTime();
-    member.fallMultiple = member.parent ? site.parentFallMultiple() : site.fallMultiple();
-    member.fallTime = site.fallTime();
   }
 
   @Override
   public void listed() {
-    caches = pickMembers(member -> !member.parent && member.zone.equals(zone));
-    parents = pickMembers(member -> member.mid);
-    Member[] origins = pickMembers(member -> member.parent && !member.mid);
+    caches = members(member -> !member.mid && !member.origin && member.zone.equals(site.zone()));
+    parents = members(member -> member.mid);
+    Member[] origins = members(member -> member.origin);
     origin = origins.length == 0 ? null : origins[0];
   }
 
-  private Member[] pickMembers(java.util.function.Predicate<Member> which) {
-    Member[] all = members.values().stream().filter(which).toArray(Member[]::new);
-    Arrays.sort(all, Comparator.comparingLong(member -> member.hash));
-    return all;
+  private Member[] members(Predicate<Member> which) {
+    return members.values().stream().filter(which).sorted(Comparator.comparingLong(member -> member.hash))
+        .toArray(Member[]::new);
   }
 
   // ---- Hashes on stable ids, so that all gateways agree.
@@ -648,79 +653,64 @@
     return ((key >>> 11) + 0.5) * 0x1.0p-53;
   }
 
-  // ---- What is kept of a service, a cache, a GET and a forward.
-
-  private static final class Service {
-    final Site.Effect effect;
-    final Site.Group group;
-    final long window, objective;
-    final double stretch, revenue;
-    final boolean neverKept;
-    final long fresh, grace;
-    final int[] took = new int[24];
-    final int[] hits = new int[3];
-    private int measured;
-    private long work;
-
-    Service(Site site, int ds) {
-      effect = site.effect(ds);
-      group = site.group(ds);
-      window = site.window(ds);
-      objective = site.latencyObjective(ds);
-      stretch = site.stretch(ds);
-      revenue = site.revenue(ds);
-      neverKept = site.neverKept(ds);
-      fresh = site.fresh(ds);
-      grace = site.grace(ds);
-      work = objective;
-    }
-
-    /** Mean time to send an answer: a coarse histogram of hits' times, two bins to a doubling. */
-    long work() {
-      return work;
-    }
+  // ---- What is kept of a service, a member, a GET and a forward.
 
-    double missShare() {
-      return (hits[1] + 4.0) / (hits[0] + hits[1] + 8.0);
+  /** What is measured of a delivery service. */
+  private final class Service {
+    final int ds;
+    final int[] took = new int[BINS];
+    int measured, hits, misses, byOrigin;
+
+    Service(int ds) {
+      this.ds = ds;
     }
 
-    double originShare() {
-      return (hits[2] + 1.0) / (hits[1] + 2.0);
+    void measure(long time) {
+      took[(int) Math.max(0, Math.min(BINS - 1, 2 * Math.log(time / (4.0 * MS)) / Math.log(2)))]++;
+      if (++measured >= FULL) {
+        Arrays.setAll(took, bin -> took[bin] / 2);
+        measured = Arrays.stream(took).sum();
+      }
     }
 
-    void returned(Arrivals.Note note, long time) {
-      int hit = note == Arrivals.Note.HIT || note == Arrivals.Note.PAST_FRESH ? 0 : 1;
-      hits[hit]++;
-      hits[2] += note == Arrivals.Note.FILLED_BY_ORIGIN ? 1 : 0;
-      if (hits[0] + hits[1] > 512) {
-        Arrays.setAll(hits, i -> hits[i] / 2);
+    /** Mean time to send an answer. */
+    long work() {
+      double sum = 0;
+      for (int bin = 0; bin < BINS; bin++) {
+        sum += took[bin] * 4.0 * MS * Math.pow(2, (bin + 0.5) / 2);
       }
-      if (hit == 1) {
-        return;
-      }
-      took[(int) Math.max(0, Math.min(took.length - 1, 2 * Math.log(time / (4.0 * MS)) / Math.log(2)))]++;
-      if (++measured % 64 == 0) {
-        double sum = 0;
-        int count = 0;
-        for (int bin = 0; bin < took.length; bin++) {
-          sum += took[bin] * 4.0 * MS * Math.pow(2, (bin + 0.5) / 2);
-          count += took[bin];
-          took[bin] /= measured >= 512 ? 2 : 1;
-        }
-        measured = measured >= 512 ? 256 : measured;
-        work = (long) (sum / count);
+      return measured == 0 ? site.latencyObjective(ds) : (long) (sum / measured);
+    }
+
+    void returned(Arrivals.Note note) {
+      boolean hit = note == Arrivals.Note.HIT || note == Arrivals.Note.PAST_FRESH;
+      hits += hit ? 1 : 0;
+      misses += hit ? 0 : 1;
+      byOrigin += note == Arrivals.Note.FILLED_BY_ORIGIN ? 1 : 0;
+      if (hits + misses >= FULL) {
+        hits /= 2;
+        misses /= 2;
+        byOrigin /= 2;
       }
     }
+
+    double missShare() {
+      return (misses + 4.0) / (hits + misses + 8.0);
+    }
+
+    double originShare() {
+      return (byOrigin + 1.0) / (misses + 2.0);
+    }
   }
 
   /** How much may be out at once. Guards against overload of any cause: late answers cut it, others widen it. */
   private static final class Limit {
-    double most = LIMIT;
+    double most = FIRST_LIMIT;
     long cutAt;
 
-    void answered(long now, boolean inTime, double out) {
+    void answered(long now, boolean inTime, double held) {
       if (inTime) {
-        most += 2 * out >= most ? 1 / most : 0;
+        most += 2 * held >= most ? 1 / most : 0;
       } else if (now - cutAt > CUT_EVERY) {
         most = Math.max(LEAST_LIMIT, most * LATE_CUT);
         cutAt = now;
@@ -728,29 +718,25 @@
     }
   }
 
+  /** What is guaranteed of members that have just started. */
+  private record Cold(double share, long time, double fallMultiple, int sharers) {
+  }
+
   private static final class Member {
     final int index;
     final long hash;
+    final Limit limit = new Limit();
     String zone;
     int cell;
-    boolean up, mid, parent;
+    boolean up, mid, origin;
     double weight;
-    long startedAt;
-    int sharers;
-    double coldShare;
-    long coldTime;
-    double fallMultiple;
-    long fallTime;
+    Cold cold;
+    long startedAt, heardAt;
     int open, late, strikes;
-    long heardAt;
     double share = 1;
-    final Limit limit = new Limit();
-    long sharedAt, setAsideAt, trialAt;
     long pause = PAUSE;
-    double spent;
-    long spentAt;
-    double carried;
-    long carriedAt;
+    long sharedAt, setAsideAt, trialAt, spentAt, carriedAt;
+    double spent, carried;
 
     Member(int index, long hash) {
       this.index = index;
@@ -759,19 +745,17 @@
 
     /** The part of its capacity that a member is sure to have. */
     double ramp(long now) {
-      long since = now - startedAt;
-      return startedAt == 0 || since >= coldTime ? 1
-          : coldShare + (1 - coldShare) * Math.max(0, since) / (double) coldTime;
+      long since = Math.max(0, now - startedAt);
+      return startedAt == 0 || since >= cold.time ? 1 : cold.share + (1 - cold.share) * since / cold.time;
     }
 
-    /** Work sent there in a second, over the last few. */
-    double carried(long now) {
-      return carried * Math.exp(-(now - carriedAt) / 4e9) / 4;
+    double spent(long now, double rate) {
+      return Math.max(0, spent - rate * (now - spentAt) / 1e9);
     }
 
-    void carry(long now, double work) {
-      carried = carried * Math.exp(-(now - carriedAt) / 4e9) + work;
-      carriedAt = now;
+    /** Work sent there in a second, over the last few. */
+    double carried(long now) {
+      return carried * Math.exp(-(now - carriedAt) / CARRIED_OVER);
     }
   }
 
@@ -781,60 +765,34 @@
     final long object;
     final int group, segment;
     final long due;
+    final boolean write;
     final List<Forward> forwards = new ArrayList<>(2);
     final List<Member> tried = new ArrayList<>(2);
-    long work;
+    long patience;
     int rank, out;
-    boolean write, streaming, done;
+    boolean sized, streaming, done;
     Forward ran;
 
-    Get(long id, Service service, long object, int group, int segment, long due) {
+    Get(long id, Service service, long object, int group, int segment, long due, boolean write) {
       this.id = id;
       this.service = service;
       this.object = object;
       this.group = group;
       this.segment = segment;
       this.due = due;
-    }
-
-    void mayHaveRun(Forward forward) {
-      if (ran == null || forward.sentAt < ran.sentAt) {
-        ran = forward;
-      }
-    }
-
-    /** Guards against an effect twice: what may have run is repeated only where its repeats are dropped. */
-    boolean permits(Member member, long now) {
-      if (ran == null || service.effect == Site.Effect.IDEMPOTENT) {
-        return true;
-      }
-      return service.effect == Site.Effect.TOKENED && now - ran.sentAt < service.window
-          && (service.group == Site.Group.ALL || member.zone.equals(ran.cache.zone)
-          && (service.group == Site.Group.ZONE || member.cell == ran.cache.cell));
-    }
-
-    boolean shedable() {
-      return out == 0 && ran == null || service.effect == Site.Effect.IDEMPOTENT
-          || service.effect == Site.Effect.TOKENED && service.group == Site.Group.ALL;
+      this.write = write;
     }
   }
 
-  private static final class Forward {
-    final Get get;
-    final int copy;
-    final Member cache;
-    final Member source;
-    final boolean heldOnly;
-    final long sentAt, patience;
+  private record Forward(Get get, int copy, Member cache, Member source, boolean heldOnly, long sentAt) {
+    @Override
+    public boolean equals(Object other) {
+      return this == other;
+    }
 
-    Forward(Get get, int copy, Member cache, Member source, boolean heldOnly, long sentAt) {
-      this.get = get;
-      this.copy = copy;
-      this.cache = cache;
-      this.source = source;
-      this.heldOnly = heldOnly;
-      this.sentAt = sentAt;
-      patience = get.service.objective + (long) (get.service.stretch * get.work);
+    @Override
+    public int hashCode() {
+      return System.identityHashCode(this);
     }
   }
 }
