--- a/src/main/java/amberpath/Arrivals.java
+++ b/src/main/java/amberpath/Arrivals.java
@@ -1,6 +1,6 @@
 package amberpath;
 
-/** All that came in at a gateway in one round, replayed in order. Small indices stand for caches and services. */
+/** All that came in at a gateway in one round, in order. Small indices stand for caches and services. */
 public interface Arrivals {
   void replay(Events to);
 
@@ -23,8 +23,8 @@
 
   /** What an answer tells of the way it came. */
   enum Note {
-    NOTHING, HIT, FILLED, FILLED_BY_ORIGIN, JOINED, PAST_FRESH, SOURCE_TURNED_AWAY, SOURCE_UNREACHED, SOURCE_LACKS,
-    NO_PLACE, ORIGIN_ERRORED
+    NOTHING, HIT, FILLED, FILLED_BY_ORIGIN, JOINED, PAST_FRESH, SOURCE_TURNED_AWAY, SOURCE_UNREACHED,
+    SOURCE_LACKS, NO_PLACE, ORIGIN_ERRORED
   }
 
   /** The callbacks. */
--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -1,5 +1,9 @@
 package amberpath;
 
+import amberpath.Arrivals.Note;
+import amberpath.Arrivals.Outcome;
+import amberpath.Site.Effect;
+import amberpath.Site.Group;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -13,62 +17,45 @@
 import java.util.function.Predicate;
 
 /**
- * Decides, for one gateway, where each GET is returned from, filled from and kept. {@link #round} is called once a
- * round with all that came in; it replays the {@link Arrivals} into the callbacks below, and these write straight
- * into the {@link Decisions}. {@link Site} says what the gateway was told at start. Nothing else is known here.
- *
- * The design (docs/design.md) is {@link #get}, top to bottom, with {@link #admitted} and {@link #first}. Beside it:
+ * Decides, for one gateway, where each GET is returned from, filled from and kept. {@link #round} is called
+ * once a round with all that came in; it replays the {@link Arrivals} into the callbacks below, and these write
+ * straight into the {@link Decisions}. {@link Site} says what the gateway was told at start.
+ * The design (docs/design.md) is {@link #get}, with {@link #admitted} and {@link #first}. Beside it stand:
  * 1. standing: a cache or source that gives no sign of life is set aside, then gets a trickle that doubles;
  * 2. cold ramp: one that has just started gets a thin slice of the keys that widens, and a budget;
- * 3. further forwards: after an end that permits one, or when stuck at one set aside, a capped share of the GETs;
+ * 3. further forwards: after an end that permits one, or when stuck at one set aside, a share of the GETs;
  * 4. detour of source: the next parent by hash, then the origin;
- * 5. limits: no more GETs at a cache, fills, and fills by way of the origin than come back in time; past them comes
- *    the next cache by hash, then what is held (ageing copies too), then a shed, the least revenue for work first;
+ * 5. limits: no more GETs at a cache, fills, and fills by way of the origin than come back in time; past them
+ *    the next cache by hash, then what is held, ageing too, then a shed, the least revenue for work first;
  * 6. late rank: a first start is kept at the lowest rank until it is asked for again.
  */
 public final class Control implements Arrivals.Events {
   private static final long MS = 1_000_000L;
 
   // The design's own values.
-  private static final int KMIN = 3;
-  private static final int TABLE = 96;
-  private static final int STARTS = 8192;
-  private static final int RANK = 2;
-  private static final int FIRST_RANK = 1;
-
-  // Standing.
-  private static final long SWEEP = 20 * MS;
-  private static final long SILENCE = 600 * MS;
+  private static final int KMIN = 3, TABLE = 96, STARTS = 8192, RANK = 2, FIRST_RANK = 1;
+
+  // Standing: how many late GETs and what silence set a member aside, and how it comes back.
+  private static final long SWEEP = 20 * MS, SILENCE = 600 * MS, STEP = 500 * MS;
+  private static final long PAUSE = 250 * MS, LONGEST_PAUSE = 4000 * MS;
   private static final int LATE = 2;
   private static final double TRICKLE = 1.0 / 16;
-  private static final long STEP = 500 * MS;
-  private static final long PAUSE = 250 * MS;
-  private static final long LONGEST_PAUSE = 4000 * MS;
 
   // Cold ramp: parts of what the guarantee allows; the rest is left for what other gateways do unseen.
-  private static final double SLICE = 0.9;
-  private static final double BUDGET = 0.5;
-  private static final double CARRIED_OVER = 4e9;
+  private static final double SLICE = 0.9, BUDGET = 0.5, CARRIED_OVER = 4e9;
 
-  // Further forwards: share of GETs, and how many may be saved up.
-  private static final double FURTHER_SHARE = 0.2;
-  private static final double FURTHER_SAVED = 40;
+  // Further forwards: share of GETs, how many may be saved up, and the least time left for one.
+  private static final double FURTHER_SHARE = 0.2, FURTHER_SAVED = 40;
   private static final long LEAST_LEFT = 20 * MS;
 
   // Limits. Past CROWDED times its part, and CROWD more, a cache passes on before its limit.
-  private static final double CROWDED = 1.75;
-  private static final double CROWD = 4;
-  private static final double FIRST_LIMIT = 24;
-  private static final double LEAST_LIMIT = 3;
-  private static final double LATE_CUT = 0.85;
+  private static final double CROWDED = 1.75, CROWD = 4;
+  private static final double FIRST_LIMIT = 24, LEAST_LIMIT = 3, LATE_CUT = 0.85;
   private static final long CUT_EVERY = 200 * MS;
-  private static final double DEAR = 1.5;
-  private static final double DEARER = 1.5;
-  private static final double UNKEPT = 0.8;
+  private static final double DEAR = 1.5, DEARER = 1.5, UNKEPT = 0.8;
 
   // Measurements: histograms with two bins to a doubling, halved when full.
-  private static final int BINS = 24;
-  private static final int FULL = 512;
+  private static final int BINS = 24, FULL = 512;
 
   private final Site site;
   private final Service[] services;
@@ -108,7 +95,8 @@
     services = new Service[site.deliveryServices()];
     Arrays.setAll(services, Service::new);
     coldCache = new Cold(site.coldShare(), site.coldTime(), site.fallMultiple(), site.gatewaysHere());
-    coldParent = new Cold(site.parentColdShare(), site.parentColdTime(), site.parentFallMultiple(), site.gateways());
+    coldParent = new Cold(site.parentColdShare(), site.parentColdTime(), site.parentFallMultiple(),
+        site.gateways());
   }
 
   /** Takes in all that came since the last round and decides on it. */
@@ -124,13 +112,14 @@
 
   // ---- The ordinary path of a GET.
 
-  @Override
-  public void get(long id, int ds, long object, int group, int part, long timeLeft, double kb, boolean write) {
+  @Override public void get(long id, int ds, long object, int group, int part, long timeLeft, double kb,
+      boolean write) {
     Service service = services[ds];
     int segment = part == 0 ? 0 : Integer.SIZE - Integer.numberOfLeadingZeros(part);
     long sending = kb > 0 && site.flowKbPerSecond() > 0 ? (long) (kb / site.flowKbPerSecond() * 1e9) : 0;
     Get get = new Get(id, service, object, group, segment, now + timeLeft, write || site.neverKept(ds));
-    get.patience = site.latencyObjective(ds) + (long) (site.stretch(ds) * (sending > 0 ? sending : service.work()));
+    long work = sending > 0 ? sending : service.work();
+    get.patience = site.latencyObjective(ds) + (long) (site.stretch(ds) * work);
     gets.put(id, get);
     further = Math.min(FURTHER_SAVED, further + FURTHER_SHARE);
     if (sending > 0) {
@@ -167,7 +156,7 @@
     return stamps == null ? 0 : stamps[1];
   }
 
-  /** Whether a later segment is kept: contiguous, and worth more than the least in the table once that is full. */
+  /** Whether a later segment is kept: contiguous and, the table full, worth more than the least in it. */
   private boolean admitted(long object, int segment, long previous) {
     boolean contiguous = segment - 1 < KMIN;
     int lowest = -1;
@@ -189,9 +178,9 @@
     if (!contiguous || value <= 0 || tabled == TABLE && value <= least) {
       return false;
     }
-    int place = tabled < TABLE ? tabled++ : lowest;
-    tableObject[place] = object;
-    tableSegment[place] = segment;
+    lowest = tabled < TABLE ? tabled++ : lowest;
+    tableObject[lowest] = object;
+    tableSegment[lowest] = segment;
     return true;
   }
 
@@ -212,10 +201,7 @@
   /** The edge cache: by hash of object and segment, over the caches of the zone that will take it. */
   private Member cache(Get get) {
     Member best = first(caches, get, get.segment, true, true);
-    if (best != null) {
-      return best;
-    }
-    best = first(caches, get, get.segment, true, false);
+    best = best != null ? best : first(caches, get, get.segment, true, false);
     best = best != null ? best : first(caches, get, get.segment, false, false);
     return best != null && best.open < best.limit.most * dear(get.service) ? best : null;
   }
@@ -230,8 +216,8 @@
   }
 
   /**
-   * The first by highest random weight, so that all gateways agree, also on the next, in whatever order they learned
-   * of the members. Not standing: those set aside will do. Cold budgets bind always.
+   * The first by highest random weight, so that all gateways agree, also on the next, in whatever order they
+   * learned of the members. Not standing: those set aside will do. Cold budgets bind always.
    */
   private Member first(Member[] among, Get get, int segment, boolean standing, boolean room) {
     Member best = null;
@@ -257,8 +243,8 @@
   private void forward(Get get, Member cache, Member source, boolean heldOnly) {
     Member from = source == null ? cache : source;
     long fresh = site.fresh(get.service.ds);
-    int switches = (site.joins() ? Decisions.JOIN : 0) + (heldOnly ? Decisions.HELD_ONLY : 0)
-        + (fresh > 0 && !heldOnly ? Decisions.RENEW : 0);
+    int switches = (site.joins() ? Decisions.JOIN : 0)
+        + (heldOnly ? Decisions.HELD_ONLY : fresh > 0 ? Decisions.RENEW : 0);
     long age = age(get, fresh + (heldOnly ? site.grace(get.service.ds) : 0));
     out.forward(get.id, cache.index, get.due, from.index, age, get.rank, switches);
     Forward sent = new Forward(get, get.forwards.size(), cache, from, heldOnly, now);
@@ -281,13 +267,13 @@
 
   /** The oldest copy that will do. Guards against purged copies until all caches have dropped theirs. */
   private long age(Get get, long oldest) {
-    long purged = Math.max(purgedObjects.getOrDefault(get.object, 0L), purgedGroups.getOrDefault(get.group, 0L));
+    long purged = purgedObjects.getOrDefault(get.object, 0L);
+    purged = Math.max(purged, purgedGroups.getOrDefault(get.group, 0L));
     long bound = Math.max(MS, now - purged - MS);
     return purged > 0 && (oldest == 0 || bound < oldest) ? bound : oldest;
   }
 
-  @Override
-  public void purged(long object, int group, long ago) {
+  @Override public void purged(long object, int group, long ago) {
     long at = now - ago;
     if (object != 0) {
       purgedObjects.merge(object, at, Math::max);
@@ -301,17 +287,12 @@
 
   // ---- How forwards end.
 
-  @Override
-  public void begun(long id, int copy) {
-    Get get = gets.get(id);
-    if (get != null) {
-      get.streaming = true;
-    }
+  @Override public void begun(long id, int copy) {
+    gets.computeIfPresent(id, (key, get) -> get.begin());
   }
 
-  @Override
-  public void ended(long id, int copy, int cache, Arrivals.Outcome outcome, long took, boolean settled,
-      Arrivals.Note note) {
+  @Override public void ended(long id, int copy, int cache, Outcome outcome, long took, boolean settled,
+      Note note) {
     Get get = gets.get(id);
     if (get == null || copy >= get.forwards.size() || !open.remove(get.forwards.get(copy))) {
       return;
@@ -332,19 +313,21 @@
     }
   }
 
-  private void learn(Forward forward, Arrivals.Outcome outcome, long took, Arrivals.Note note) {
+  private void learn(Forward forward, Outcome outcome, long took, Note note) {
     Service service = forward.get.service;
     boolean inTime = took <= forward.get.patience;
+    boolean originRefused = note == Note.ORIGIN_ERRORED
+        || note == Note.SOURCE_TURNED_AWAY && forward.source == origin;
     switch (outcome) {
       case RETURNED:
         alive(forward.cache, forward.sentAt);
         service.returned(note);
-        if (note == Arrivals.Note.HIT || note == Arrivals.Note.NOTHING) {
+        if (note == Note.HIT || note == Note.NOTHING) {
           forward.cache.limit.answered(now, inTime, forward.cache.open);
           if (!forward.get.sized) {
             service.measure(took);
           }
-        } else if (note == Arrivals.Note.FILLED_BY_ORIGIN) {
+        } else if (note == Note.FILLED_BY_ORIGIN) {
           alive(forward.source, forward.sentAt);
           originLimit.answered(now, inTime, originFills);
         } else {
@@ -356,9 +339,8 @@
       case NOT_STORED:
       case ERRORED:
         forward.cache.heardAt = now;
-        forward.source.strikes += note == Arrivals.Note.SOURCE_UNREACHED ? 1 : 0;
-        if (note == Arrivals.Note.ORIGIN_ERRORED
-            || note == Arrivals.Note.SOURCE_TURNED_AWAY && forward.source == origin) {
+        forward.source.strikes += note == Note.SOURCE_UNREACHED ? 1 : 0;
+        if (originRefused) {
           originLimit.answered(now, false, 0);
         }
         break;
@@ -371,33 +353,30 @@
   }
 
   /** A further forward where the GET's kind, its time and the cap permit; else the final answer, at once. */
-  private void tryFurther(Get get, Forward last, Arrivals.Outcome outcome, Arrivals.Note note) {
-    boolean heldOnly = last.heldOnly && outcome == Arrivals.Outcome.NOT_STORED;
+  private void tryFurther(Get get, Forward last, Outcome outcome, Note note) {
+    boolean heldOnly = last.heldOnly && outcome == Outcome.NOT_STORED;
     if (heldOnly) {
       further++;
     } else {
-      boolean source = note.compareTo(Arrivals.Note.SOURCE_TURNED_AWAY) >= 0 && note != Arrivals.Note.NO_PLACE;
+      boolean source = note.compareTo(Note.SOURCE_TURNED_AWAY) >= 0 && note != Note.NO_PLACE;
       get.tried.add(source ? last.source : last.cache);
     }
     if (heldOnly && (crowded(get, fillLimit, fills) || crowded(get, originLimit, originFills))
-        || outcome == Arrivals.Outcome.NO_ANSWER || !again(get)) {
+        || outcome == Outcome.NO_ANSWER || !again(get)) {
       giveUp(get);
     }
   }
 
   /** Sends the GET again, elsewhere; false where that may not be. */
   private boolean again(Get get) {
-    if (get.streaming || get.due - now < LEAST_LEFT || get.forwards.size() >= site.maxForwards() || further < 1) {
-      return false;
-    }
-    further--;
-    return place(get);
+    boolean may = !get.streaming && get.due - now >= LEAST_LEFT && get.forwards.size() < site.maxForwards();
+    return may && further >= 1 && further-- >= 1 && place(get);
   }
 
   /** The final answer of a GET that is not returned. A shed promises that nothing ran, an error nothing. */
   private void giveUp(Get get) {
-    boolean again = get.ran == null && get.out == 0 || site.effect(get.service.ds) == Site.Effect.IDEMPOTENT
-        || site.effect(get.service.ds) == Site.Effect.TOKENED && site.group(get.service.ds) == Site.Group.ALL;
+    boolean again = get.ran == null && get.out == 0 || site.effect(get.service.ds) == Effect.IDEMPOTENT
+        || site.effect(get.service.ds) == Effect.TOKENED && site.group(get.service.ds) == Group.ALL;
     if (again && get.due - now >= LEAST_LEFT) {
       long longest = site.retryAfter() ? site.maxRetryAfter() / 2 : 0;
       out.shed(get.id, longest == 0 ? 0 : longest + random.nextLong(longest));
@@ -420,31 +399,29 @@
     }
   }
 
-  @Override
-  public void left(long id) {
-    Get get = gets.get(id);
-    if (get != null && !get.done) {
-      finish(get);
+  @Override public void left(long id) {
+    if (gets.containsKey(id) && !gets.get(id).done) {
+      finish(gets.get(id));
     }
   }
 
   /** Guards against an effect twice: what may have run is repeated only where its repeats are dropped. */
   private boolean permits(Get get, Member member) {
     int ds = get.service.ds;
-    if (get.ran == null || site.effect(ds) == Site.Effect.IDEMPOTENT) {
+    if (get.ran == null || site.effect(ds) == Effect.IDEMPOTENT) {
       return true;
     }
     Member ran = get.ran.cache;
-    return site.effect(ds) == Site.Effect.TOKENED && now - get.ran.sentAt < site.window(ds)
-        && (site.group(ds) == Site.Group.ALL || member.zone.equals(ran.zone)
-        && (site.group(ds) == Site.Group.ZONE || member.cell == ran.cell));
+    return site.effect(ds) == Effect.TOKENED && now - get.ran.sentAt < site.window(ds)
+        && (site.group(ds) == Group.ALL || member.zone.equals(ran.zone)
+        && (site.group(ds) == Group.ZONE || member.cell == ran.cell));
   }
 
   // ---- Limits.
 
   /**
-   * Guards against a jammed fill path or origin of any cause: past the limit on fills a GET is returned only from
-   * what its cache holds, past that on fills by way of the origin only from what its cache or the parent holds.
+   * Guards against a jammed fill path or origin of any cause: past the limit on fills a GET is returned only
+   * from what its cache holds, past that on fills by way of the origin only from what cache or parent holds.
    */
   private boolean crowded(Get get, Limit limit, double held) {
     return !get.write && held >= limit.most * dear(get.service) * (get.rank == 0 ? UNKEPT : 1);
@@ -460,7 +437,7 @@
     return DEAR;
   }
 
-  /** How many forwards out, for each unit of weight, are too many: guards against hot segments and slow caches. */
+  /** How many forwards out, a unit of weight, are too many: guards against hot segments and slow caches. */
   private double crowd(Member[] among) {
     double held = 0;
     double weights = 0;
@@ -501,7 +478,7 @@
     member.pause = Math.min(LONGEST_PAUSE, 2 * member.pause);
   }
 
-  /** Whether a member takes a key, by its place in the shared hash: the cold ramp's slice, then the trickle. */
+  /** Whether a member takes a key, by its place in the shared hash: the cold ramp's slice, and the trickle. */
   private boolean takes(Member member, double place) {
     if (member.share == 0) {
       return now >= member.trialAt && member.open == 0;
@@ -539,8 +516,7 @@
     member.spentAt = now;
   }
 
-  @Override
-  public void woken(String handle) {
+  @Override public void woken(String handle) {
     sweeping = !open.isEmpty();
     if (sweeping) {
       out.wake(SWEEP, "sweep");
@@ -570,23 +546,19 @@
       Get get = forward.get;
       boolean stuck = forward.cache.share == 0 || forward.source.share == 0 && forward.cache.late > 0;
       if (stuck && !get.done && get.out == 1 && now - forward.sentAt > get.patience && site.secondCopies()
-          && site.effect(get.service.ds) == Site.Effect.IDEMPOTENT) {
+          && site.effect(get.service.ds) == Effect.IDEMPOTENT) {
         get.tried.add(forward.cache.share == 0 ? forward.cache : forward.source);
         again(get);
       }
     }
   }
 
-  /** Sets aside who keeps several GETs waiting and has given no sign of life, unless most of its peers do too. */
+  /** Sets aside who keeps GETs waiting and gives no sign of life, unless most of its peers do too. */
   private void judge(Member[] peers) {
-    int well = 0;
-    int up = 0;
-    for (Member member : peers) {
-      up += member.up ? 1 : 0;
-      well += member.up && member.late + member.strikes < LATE && member.share > 0 ? 1 : 0;
-    }
+    long up = Arrays.stream(peers).filter(member -> member.up).count();
+    long well = Arrays.stream(peers).filter(peer -> peer.up && !peer.waits() && peer.share > 0).count();
     for (Member member : peers) {
-      if (member.up && member.late + member.strikes >= LATE && now - member.heardAt > SILENCE && 2 * well >= up) {
+      if (member.up && member.waits() && now - member.heardAt > SILENCE && 2 * well >= up) {
         setAside(member);
       }
     }
@@ -594,17 +566,15 @@
 
   // ---- The list of caches.
 
-  @Override
-  public void listing(Arrivals.Listing what) {
+  @Override public void listing(Arrivals.Listing what) {
     if (what == Arrivals.Listing.FULL) {
       members.values().forEach(member -> member.up = false);
     }
     watching = what != Arrivals.Listing.NONE;
   }
 
-  @Override
-  public void member(int cache, String address, String zone, String kind, int cell, Arrivals.State state,
-      double weight, long startedAt) {
+  @Override public void member(int cache, String address, String zone, String kind, int cell,
+      Arrivals.State state, double weight, long startedAt) {
     Member member = members.computeIfAbsent(cache, index -> new Member(index, hash(address)));
     member.zone = zone;
     member.cell = cell;
@@ -620,12 +590,10 @@
     }
   }
 
-  @Override
-  public void listed() {
+  @Override public void listed() {
     caches = members(member -> !member.mid && !member.origin && member.zone.equals(site.zone()));
     parents = members(member -> member.mid);
-    Member[] origins = members(member -> member.origin);
-    origin = origins.length == 0 ? null : origins[0];
+    origin = Arrays.stream(members(member -> member.origin)).findFirst().orElse(null);
   }
 
   private Member[] members(Predicate<Member> which) {
@@ -682,11 +650,11 @@
       return measured == 0 ? site.latencyObjective(ds) : (long) (sum / measured);
     }
 
-    void returned(Arrivals.Note note) {
-      boolean hit = note == Arrivals.Note.HIT || note == Arrivals.Note.PAST_FRESH;
+    void returned(Note note) {
+      boolean hit = note == Note.HIT || note == Note.PAST_FRESH;
       hits += hit ? 1 : 0;
       misses += hit ? 0 : 1;
-      byOrigin += note == Arrivals.Note.FILLED_BY_ORIGIN ? 1 : 0;
+      byOrigin += note == Note.FILLED_BY_ORIGIN ? 1 : 0;
       if (hits + misses >= FULL) {
         hits /= 2;
         misses /= 2;
@@ -703,7 +671,7 @@
     }
   }
 
-  /** How much may be out at once. Guards against overload of any cause: late answers cut it, others widen it. */
+  /** How much may be out at once. Guards against overload: late answers cut it, others widen it. */
   private static final class Limit {
     double most = FIRST_LIMIT;
     long cutAt;
@@ -749,6 +717,10 @@
       return startedAt == 0 || since >= cold.time ? 1 : cold.share + (1 - cold.share) * since / cold.time;
     }
 
+    boolean waits() {
+      return late + strikes >= LATE;
+    }
+
     double spent(long now, double rate) {
       return Math.max(0, spent - rate * (now - spentAt) / 1e9);
     }
@@ -760,11 +732,9 @@
   }
 
   private static final class Get {
-    final long id;
     final Service service;
-    final long object;
+    final long id, object, due;
     final int group, segment;
-    final long due;
     final boolean write;
     final List<Forward> forwards = new ArrayList<>(2);
     final List<Member> tried = new ArrayList<>(2);
@@ -782,16 +752,19 @@
       this.due = due;
       this.write = write;
     }
+
+    Get begin() {
+      streaming = true;
+      return this;
+    }
   }
 
   private record Forward(Get get, int copy, Member cache, Member source, boolean heldOnly, long sentAt) {
-    @Override
-    public boolean equals(Object other) {
+    @Override public boolean equals(Object other) {
       return this == other;
     }
 
-    @Override
-    public int hashCode() {
+    @Override public int hashCode() {
       return System.identityHashCode(this);
     }
   }
--- a/src/main/java/amberpath/Site.java
+++ b/src/main/java/amberpath/Site.java
@@ -1,6 +1,6 @@
 package amberpath;
 
-/** What a gateway is told when it starts. Read once, by {@link Control}'s constructor. Times are nanoseconds. */
+/** What a gateway is told when it starts, decoded once. Times are nanoseconds. */
 public interface Site {
   enum Effect { IDEMPOTENT, TOKENED, NON_IDEMPOTENT }
 
--- a/src/main/java/amberpath/wire/WireGateway.java
+++ b/src/main/java/amberpath/wire/WireGateway.java
@@ -115,7 +115,8 @@
       throw order.wrong("tier-class", "no known delivery service: " + order.text("tier-class"));
     }
     to.get(order.whole("op-id"), ds, order.wholeOr("resource", 0), order.place("batch-id", 0),
-        order.place("range-no", 0), order.time("time-budget-s"), order.numberOr("kb", 0), order.flag("is-write"));
+        order.place("range-no", 0), order.time("time-budget-s"), order.numberOr("kb", 0),
+        order.flag("is-write"));
   }
 
   private int cache(Fields event) {
@@ -170,7 +171,8 @@
     return note > 0 && note < all.length ? all[note] : Arrivals.Note.NOTHING;
   }
 
-  @Override public void forward(long get, int cache, long until, int source, long age, int rank, int switches) {
+  @Override public void forward(long get, int cache, long until, int source, long age, int rank,
+      int switches) {
     act("serve-via", () -> {
       reply.writeNumberField("op-id", get);
       reply.writeStringField("cache", addresses.get(cache));
