--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -18,7 +18,7 @@
 
 /**
  * Decides, for one gateway, where each GET is returned from, filled from and kept. {@link #round} is called
- * once a round with all that came in; it replays the {@link Arrivals} into the callbacks below, and these write
+ * once a round with all that came in; it replays the {@link Arrivals} into the callbacks below, which write
  * straight into the {@link Decisions}. {@link Site} says what the gateway was told at start.
  * The design (docs/design.md) is {@link #get}, with {@link #admitted} and {@link #first}. Beside it stand:
  * 1. standing: a cache or source that gives no sign of life is set aside, then gets a trickle that doubles;
@@ -316,39 +316,30 @@
   private void learn(Forward forward, Outcome outcome, long took, Note note) {
     Service service = forward.get.service;
     boolean inTime = took <= forward.get.patience;
-    boolean originRefused = note == Note.ORIGIN_ERRORED
-        || note == Note.SOURCE_TURNED_AWAY && forward.source == origin;
     switch (outcome) {
-      case RETURNED:
-        alive(forward.cache, forward.sentAt);
+      case RETURNED -> {
         service.returned(note);
+        alive(forward.cache, forward.sentAt);
         if (note == Note.HIT || note == Note.NOTHING) {
           forward.cache.limit.answered(now, inTime, forward.cache.open);
           if (!forward.get.sized) {
             service.measure(took);
           }
-        } else if (note == Note.FILLED_BY_ORIGIN) {
-          alive(forward.source, forward.sentAt);
-          originLimit.answered(now, inTime, originFills);
         } else {
+          boolean byOrigin = note == Note.FILLED_BY_ORIGIN;
           alive(forward.source, forward.sentAt);
-          fillLimit.answered(now, inTime, fills);
+          (byOrigin ? originLimit : fillLimit).answered(now, inTime, byOrigin ? originFills : fills);
         }
-        break;
-      case TURNED_AWAY:
-      case NOT_STORED:
-      case ERRORED:
+      }
+      case TURNED_AWAY, NOT_STORED, ERRORED -> {
         forward.cache.heardAt = now;
         forward.source.strikes += note == Note.SOURCE_UNREACHED ? 1 : 0;
-        if (originRefused) {
+        if (note == Note.ORIGIN_ERRORED || note == Note.SOURCE_TURNED_AWAY && forward.source == origin) {
           originLimit.answered(now, false, 0);
         }
-        break;
-      case NO_CONNECTION:
-      case LOST:
-        setAside(forward.cache);
-        break;
-      default:
+      }
+      case NO_CONNECTION, LOST -> setAside(forward.cache);
+      default -> { }
     }
   }
 
@@ -478,7 +469,7 @@
     member.pause = Math.min(LONGEST_PAUSE, 2 * member.pause);
   }
 
-  /** Whether a member takes a key, by its place in the shared hash: the cold ramp's slice, and the trickle. */
+  /** Whether a member takes a key, by its place in the shared hash: cold ramp's slice, and trickle. */
   private boolean takes(Member member, double place) {
     if (member.share == 0) {
       return now >= member.trialAt && member.open == 0;
