--- a/src/main/java/amberpath/Site.java
+++ b/src/main/java/amberpath/Site.java
@@ -7,9 +7,6 @@
   /** The caches that drop a tokened GET's repeats. */
   enum Group { ALL, ZONE, CELL }
 
-  /** Which caches may be named as the source of a fill. */
-  enum Neighbours { NONE, ZONE, ANY }
-
   long seed();
 
   /** How many gateways there are, in all and in this gateway's zone. */
@@ -45,8 +42,6 @@
 
   double revenue(int ds);
 
-  boolean inParts(int ds);
-
   boolean neverKept(int ds);
 
   /** How long a copy is fresh (0: until it is purged) and how long after that it may still be returned. */
@@ -69,8 +64,6 @@
 
   boolean joins();
 
-  Neighbours neighbours();
-
   double flowKbPerSecond();
 
   long purgeTakes();
--- a/src/main/java/amberpath/wire/WireSite.java
+++ b/src/main/java/amberpath/wire/WireSite.java
@@ -3,206 +3,251 @@
 import amberpath.Site;
 import java.util.List;
 
-/** Reads the settings that a gateway is started with. */
+/** The settings that a gateway is started with, decoded once. */
 final class WireSite implements Site {
   private final long seed;
-  private final Fields all;
-  private final Fields family;
-  private final Fields bounds;
-  private final Fields rules;
-  private final List<Fields> services;
+  private final String zone;
+  private final int gateways;
+  private final int gatewaysHere;
+  private final String midKind;
+  private final String originKind;
+  private final boolean weighsSizes;
+  private final boolean listOnRequest;
+  private final int maxForwards;
+  private final boolean secondCopies;
+  private final boolean callOff;
+  private final boolean retryAfter;
+  private final long maxRetryAfter;
+  private final boolean bypass;
+  private final boolean joins;
+  private final double flowKbPerSecond;
+  private final long purgeTakes;
+  private final double coldShare;
+  private final long coldTime;
+  private final double fallMultiple;
+  private final long fallTime;
+  private final double parentColdShare;
+  private final long parentColdTime;
+  private final double parentFallMultiple;
+  private final String[] names;
+  private final Effect[] effects;
+  private final Group[] groups;
+  private final long[] windows, objectives, fresh, grace;
+  private final double[] stretches, revenues;
+  private final boolean[] neverKept;
 
   WireSite(long seed, Fields all) {
+    Fields family = all.fieldsOr("family-info");
+    Fields bounds = all.fieldsOr("bounds");
+    Fields rules = all.fieldsOr("guarantees");
     this.seed = seed;
-    this.all = all;
-    family = all.fieldsOr("family-info");
-    bounds = all.fieldsOr("bounds");
-    rules = all.fieldsOr("guarantees");
-    services = all.each("classes");
+    zone = all.text("my-zone");
+    gateways = all.place("replicas-of-me", 1);
+    gatewaysHere = family.at("zone-balancers", all.list("zones").indexOf(zone),
+        Long.class, (long) gateways).intValue();
+    midKind = all.at("kinds", family.place("mid-kind", -1), String.class, null);
+    originKind = all.at("kinds", family.place("store-kind", -1), String.class, null);
+    weighsSizes = all.has("weights") && all.text("weights").equals("nominal");
+    listOnRequest = all.has("registry-mode") && all.text("registry-mode").equals("on_request");
+    maxForwards = bounds.place("max-attempts", 1);
+    secondCopies = bounds.flag("second-copies");
+    callOff = bounds.flag("cancel");
+    retryAfter = bounds.flag("retry-after");
+    maxRetryAfter = bounds.timeOr("max-retry-after-s", 0);
+    bypass = family.flag("bypass-allowed");
+    joins = family.flag("collapses");
+    flowKbPerSecond = family.numberOr("flow-kb-per-s", 0);
+    purgeTakes = family.timeOr("purge-takes-s", 0);
+    coldShare = rules.numberOr("cold-share", 1);
+    coldTime = rules.timeOr("cold-s", 0);
+    fallMultiple = rules.numberOr("fall-multiple", 1);
+    fallTime = rules.timeOr("fall-s", 0);
+    parentColdShare = family.numberOr("parent-cold-from", 1);
+    parentColdTime = family.timeOr("parent-ramp-s", 0);
+    parentFallMultiple = family.numberOr("parent-limit-factor", 1);
+    List<Fields> services = all.each("classes");
+    int count = services.size();
+    names = new String[count];
+    effects = new Effect[count];
+    groups = new Group[count];
+    windows = new long[count];
+    objectives = new long[count];
+    fresh = new long[count];
+    grace = new long[count];
+    stretches = new double[count];
+    revenues = new double[count];
+    neverKept = new boolean[count];
+    for (int ds = 0; ds < count; ds++) {
+      Fields service = services.get(ds);
+      names[ds] = service.text("name");
+      effects[ds] = effect(service);
+      groups[ds] = group(service);
+      windows[ds] = service.timeOr("window-s", 0);
+      objectives[ds] = service.time("target-s");
+      fresh[ds] = Fields.nanos(family.at("class-fresh-s", ds, Number.class, 0).doubleValue());
+      grace[ds] = Fields.nanos(family.at("class-grace-s", ds, Number.class, 0).doubleValue());
+      stretches[ds] = service.numberOr("aim-stretch", 0);
+      revenues[ds] = service.numberOr("points", 1);
+      neverKept[ds] = family.at("never-kept", ds, Boolean.class, false);
+    }
+  }
+
+  private static Effect effect(Fields service) {
+    return switch (service.text("idempotency")) {
+      case "repeatable" -> Effect.IDEMPOTENT;
+      case "by_key" -> Effect.TOKENED;
+      case "once" -> Effect.NON_IDEMPOTENT;
+      default -> throw service.wrong("idempotency", "of no known kind: " + service.text("idempotency"));
+    };
+  }
+
+  private static Group group(Fields service) {
+    return switch (service.has("group") ? service.text("group") : "cell") {
+      case "all" -> Group.ALL;
+      case "zone" -> Group.ZONE;
+      case "cell" -> Group.CELL;
+      default -> throw service.wrong("group", "of no known kind: " + service.text("group"));
+    };
   }
 
   /** The place of a delivery service in the settings, or -1. */
   int service(String name) {
-    for (int ds = 0; ds < services.size(); ds++) {
-      if (services.get(ds).text("name").equals(name)) {
-        return ds;
-      }
-    }
-    return -1;
+    return List.of(names).indexOf(name);
   }
 
   @Override public long seed() {
     return seed;
   }
 
-  @Override public int gateways() {
-    return all.place("replicas-of-me", 1);
+  @Override public String zone() {
+    return zone;
   }
 
-  @Override public int gatewaysHere() {
-    int place = all.list("zones").indexOf(zone());
-    return family.at("zone-balancers", place, Long.class, (long) gateways()).intValue();
+  @Override public int gateways() {
+    return gateways;
   }
 
-  @Override public String zone() {
-    return all.text("my-zone");
+  @Override public int gatewaysHere() {
+    return gatewaysHere;
   }
 
   @Override public String midKind() {
-    return all.at("kinds", family.place("mid-kind", -1), String.class, null);
+    return midKind;
   }
 
   @Override public String originKind() {
-    return all.at("kinds", family.place("store-kind", -1), String.class, null);
+    return originKind;
   }
 
   @Override public boolean weighsSizes() {
-    return all.has("weights") && all.text("weights").equals("nominal");
+    return weighsSizes;
   }
 
   @Override public boolean listOnRequest() {
-    return all.has("registry-mode") && all.text("registry-mode").equals("on_request");
+    return listOnRequest;
   }
 
-  @Override public int deliveryServices() {
-    return services.size();
-  }
-
-  @Override public Effect effect(int ds) {
-    String value = services.get(ds).text("idempotency");
-    switch (value) {
-      case "repeatable":
-        return Effect.IDEMPOTENT;
-      case "by_key":
-        return Effect.TOKENED;
-      case "once":
-        return Effect.NON_IDEMPOTENT;
-      default:
-        throw services.get(ds).wrong("idempotency", "of no known kind: " + value);
-    }
+  @Override public int maxForwards() {
+    return maxForwards;
   }
 
-  @Override public Group group(int ds) {
-    String value = services.get(ds).has("group") ? services.get(ds).text("group") : "cell";
-    switch (value) {
-      case "all":
-        return Group.ALL;
-      case "zone":
-        return Group.ZONE;
-      case "cell":
-        return Group.CELL;
-      default:
-        throw services.get(ds).wrong("group", "of no known kind: " + value);
-    }
+  @Override public boolean secondCopies() {
+    return secondCopies;
   }
 
-  @Override public long window(int ds) {
-    return services.get(ds).timeOr("window-s", 0);
+  @Override public boolean callOff() {
+    return callOff;
   }
 
-  @Override public long latencyObjective(int ds) {
-    return services.get(ds).time("target-s");
+  @Override public boolean retryAfter() {
+    return retryAfter;
   }
 
-  @Override public double stretch(int ds) {
-    return services.get(ds).numberOr("aim-stretch", 0);
+  @Override public long maxRetryAfter() {
+    return maxRetryAfter;
   }
 
-  @Override public double revenue(int ds) {
-    return services.get(ds).numberOr("points", 1);
+  @Override public boolean bypass() {
+    return bypass;
   }
 
-  @Override public boolean inParts(int ds) {
-    return family.at("in-parts", ds, Boolean.class, false);
+  @Override public boolean joins() {
+    return joins;
   }
 
-  @Override public boolean neverKept(int ds) {
-    return family.at("never-kept", ds, Boolean.class, false);
+  @Override public double flowKbPerSecond() {
+    return flowKbPerSecond;
   }
 
-  @Override public long fresh(int ds) {
-    return Fields.nanos(family.at("class-fresh-s", ds, Number.class, 0).doubleValue());
+  @Override public long purgeTakes() {
+    return purgeTakes;
   }
 
-  @Override public long grace(int ds) {
-    return Fields.nanos(family.at("class-grace-s", ds, Number.class, 0).doubleValue());
+  @Override public double coldShare() {
+    return coldShare;
   }
 
-  @Override public int maxForwards() {
-    return bounds.place("max-attempts", 1);
+  @Override public long coldTime() {
+    return coldTime;
   }
 
-  @Override public boolean secondCopies() {
-    return bounds.flag("second-copies");
+  @Override public double fallMultiple() {
+    return fallMultiple;
   }
 
-  @Override public boolean callOff() {
-    return bounds.flag("cancel");
+  @Override public long fallTime() {
+    return fallTime;
   }
 
-  @Override public boolean retryAfter() {
-    return bounds.flag("retry-after");
+  @Override public double parentColdShare() {
+    return parentColdShare;
   }
 
-  @Override public long maxRetryAfter() {
-    return bounds.timeOr("max-retry-after-s", 0);
+  @Override public long parentColdTime() {
+    return parentColdTime;
   }
 
-  @Override public boolean bypass() {
-    return family.flag("bypass-allowed");
+  @Override public double parentFallMultiple() {
+    return parentFallMultiple;
   }
 
-  @Override public boolean joins() {
-    return family.flag("collapses");
-  }
-
-  @Override public Neighbours neighbours() {
-    String value = family.has("neighbours") ? family.text("neighbours") : "none";
-    switch (value) {
-      case "none":
-        return Neighbours.NONE;
-      case "location":
-        return Neighbours.ZONE;
-      case "any":
-        return Neighbours.ANY;
-      default:
-        throw family.wrong("neighbours", "of no known kind: " + value);
-    }
+  @Override public int deliveryServices() {
+    return names.length;
   }
 
-  @Override public double flowKbPerSecond() {
-    return family.numberOr("flow-kb-per-s", 0);
+  @Override public Effect effect(int ds) {
+    return effects[ds];
   }
 
-  @Override public long purgeTakes() {
-    return family.timeOr("purge-takes-s", 0);
+  @Override public Group group(int ds) {
+    return groups[ds];
   }
 
-  @Override public double coldShare() {
-    return rules.numberOr("cold-share", 1);
+  @Override public long window(int ds) {
+    return windows[ds];
   }
 
-  @Override public long coldTime() {
-    return rules.timeOr("cold-s", 0);
+  @Override public long latencyObjective(int ds) {
+    return objectives[ds];
   }
 
-  @Override public double fallMultiple() {
-    return rules.numberOr("fall-multiple", 1);
+  @Override public double stretch(int ds) {
+    return stretches[ds];
   }
 
-  @Override public long fallTime() {
-    return rules.timeOr("fall-s", 0);
+  @Override public double revenue(int ds) {
+    return revenues[ds];
   }
 
-  @Override public double parentColdShare() {
-    return family.numberOr("parent-cold-from", 1);
+  @Override public boolean neverKept(int ds) {
+    return neverKept[ds];
   }
 
-  @Override public long parentColdTime() {
-    return family.timeOr("parent-ramp-s", 0);
+  @Override public long fresh(int ds) {
+    return fresh[ds];
   }
 
-  @Override public double parentFallMultiple() {
-    return family.numberOr("parent-limit-factor", 1);
+  @Override public long grace(int ds) {
+    return grace[ds];
   }
 }
--- /dev/null
+++ b/src/test/java/amberpath/ControlTest.java
@@ -0,0 +1,353 @@
+package amberpath;
+
+import static amberpath.FakeHost.MS;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import amberpath.Arrivals.Note;
+import amberpath.Arrivals.Outcome;
+import amberpath.Arrivals.State;
+import amberpath.FakeHost.Sent;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Short stories: the design's path, one for each rule, and one for each failure met. */
+class ControlTest {
+  private final FakeHost host = new FakeHost().list();
+  private long ids;
+
+  /** A GET that is returned at once. */
+  private Sent hit(long object, int part) {
+    Sent sent = host.get(++ids, object, part);
+    host.returned(sent, 50, Note.HIT);
+    return sent;
+  }
+
+  // ---- The design.
+
+  @ParameterizedTest
+  @CsvSource({"2, 3", "4, 7", "8, 15", "16, 31"})
+  void partsOfOneSegmentShareACacheAndSegmentsSpread(int first, int last) {
+    int apart = 0;
+    for (long object = 1; object <= 40; object++) {
+      int cache = hit(object, first).cache();
+      assertEquals(cache, hit(object, last).cache());
+      apart += hit(object, last + 1).cache() != cache ? 1 : 0;
+    }
+    assertTrue(apart > 20, "the next segment mostly lies elsewhere: " + apart);
+  }
+
+  @Test
+  void startsAreAlwaysKeptAndRiseOnTheNextStart() {
+    assertEquals(1, hit(5, 0).rank());
+    assertEquals(1, hit(5, 3).rank());
+    host.pass(1000);
+    assertEquals(2, hit(5, 0).rank());
+    assertEquals(2, hit(5, 3).rank());
+  }
+
+  @Test
+  void laterSegmentsAreKeptContiguouslyAndNotOnAFirstStart() {
+    hit(5, 0);
+    assertEquals(0, hit(5, 4).rank());
+    host.pass(1000);
+    hit(5, 0);
+    assertEquals(0, hit(5, 8).rank(), "segment 3 is not in the table yet");
+    assertEquals(2, hit(5, 4).rank());
+    assertEquals(2, hit(5, 8).rank());
+  }
+
+  @Test
+  void aFullTableIsEnteredOnlyByBeatingItsLowest() {
+    for (int object = 1; object <= 300; object++) {
+      hit(object, 0);
+    }
+    host.pass(1000);
+    for (int object = 1; object <= 299; object++) {
+      hit(object, 0);
+      hit(object, 4);
+    }
+    host.pass(500);
+    hit(300, 0);
+    assertEquals(0, hit(300, 4).rank(), "as rare as the others, and later is not better");
+    host.pass(100);
+    hit(300, 0);
+    assertEquals(2, hit(300, 4).rank(), "now more frequent than the others");
+  }
+
+  @Test
+  void gatewaysThatLearnedTheListInAnotherOrderAgree() {
+    FakeHost other = new FakeHost().list(7, 6, 5, 4, 3, 2, 1, 0).round();
+    for (long object = 1; object <= 50; object++) {
+      Sent here = host.get(object, object, 0);
+      Sent there = other.get(object, object, 0);
+      assertEquals(List.of(here.cache(), here.source()), List.of(there.cache(), there.source()));
+      host.returned(here, 50, Note.HIT);
+      other.returned(there, 50, Note.HIT);
+    }
+  }
+
+  // ---- The rules.
+
+  @Test
+  void aGetWithNoCacheIsShedAtOnce() {
+    IntStream.range(0, 4).forEach(cache -> host.change(cache, State.GONE, 0));
+    host.get(1, 5, 0);
+    assertEquals(List.of(1L), host.shed);
+  }
+
+  @Test
+  void anUnansweredGetIsErroredAtItsTimeAndNothingFollows() {
+    Sent sent = host.get(1, 5, 0);
+    assertEquals(host.now + 2000 * MS, sent.until());
+    host.now += 2000 * MS;
+    host.ended(sent, Outcome.NO_ANSWER, 2000, Note.NOTHING);
+    assertEquals(List.of(1L), host.errored);
+    host.event(to -> to.left(1)).ended(sent, Outcome.CALLED_OFF, 2000, Note.NOTHING).pass(3000);
+    assertEquals(1, host.sent.size() + host.shed.size());
+    assertEquals(1, host.errored.size());
+  }
+
+  @ParameterizedTest
+  @CsvSource({"IDEMPOTENT, ERRORED, ALL, again", "IDEMPOTENT, TURNED_AWAY, ALL, again",
+      "TOKENED, LOST, ALL, again", "TOKENED, TURNED_AWAY, CELL, again", "NON_IDEMPOTENT, TURNED_AWAY, ALL, again",
+      "NON_IDEMPOTENT, LOST, ALL, errored", "NON_IDEMPOTENT, ERRORED, ALL, errored",
+      "NON_IDEMPOTENT, CALLED_OFF, ALL, errored"})
+  void noEffectTwice(Site.Effect effect, Outcome outcome, Site.Group group, String expected) {
+    host.effect = effect;
+    host.group = group;
+    host.ended(host.get(1, 5, 0), outcome, 10, Note.NOTHING);
+    assertEquals(expected.equals("again") ? 2 : 1, host.sent.size());
+    assertEquals(expected.equals("errored") ? List.of(1L) : List.of(), host.errored);
+    assertTrue(host.shed.isEmpty());
+  }
+
+  @Test
+  void aTokenedGetThatMayHaveRunStaysInItsCellAndWindow() {
+    host.effect = Site.Effect.TOKENED;
+    host.group = Site.Group.CELL;
+    Sent first = host.get(1, 5, 0);
+    host.ended(first, Outcome.ERRORED, 10, Note.NOTHING);
+    assertEquals(first.cache() % 2, host.last(1).cache() % 2);
+    host.now += 1100 * MS;
+    host.ended(host.last(1), Outcome.ERRORED, 10, Note.NOTHING);
+    assertEquals(2, host.sent.size());
+    assertEquals(List.of(1L), host.errored, "past the window, and a shed would invite a repeat elsewhere");
+  }
+
+  @ParameterizedTest
+  @EnumSource(value = State.class, names = {"DRAINING", "GONE"})
+  void nothingNewGoesToOrThroughWhatDrains(State state) {
+    host.change(1, state, 0).change(6, state, 0);
+    for (long object = 1; object <= 60; object++) {
+      Sent sent = hit(object, 0);
+      assertNotEquals(1, sent.cache());
+      assertEquals(5, sent.source());
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 5})
+  void aColdMemberGetsAThinSliceThatWidens(int cold) {
+    int usual = share(cold, 0);
+    host.change(cold, State.UP, host.now);
+    int thin = share(cold, 0);
+    host.pass(5000);
+    int wide = share(cold, 0);
+    assertTrue(thin > 0 && thin < usual / 4, "thin " + thin + " of " + usual);
+    assertTrue(wide > usual / 2 && wide < usual, "wide " + wide + " of " + usual);
+  }
+
+  private int share(int member, long firstObject) {
+    int count = 0;
+    for (long object = firstObject; object < firstObject + 400; object++) {
+      Sent sent = hit(object, 0);
+      count += sent.cache() == member || sent.source() == member ? 1 : 0;
+      host.pass(5);
+    }
+    return count;
+  }
+
+  @Test
+  void aColdCacheAloneInItsZoneIsHeldToItsBudget() {
+    for (int cache = 1; cache < 4; cache++) {
+      host.change(cache, State.GONE, 0);
+    }
+    host.change(0, State.UP, host.now);
+    for (long id = 1; id <= 200; id++) {
+      host.get(id, id, 0);
+    }
+    // A tenth of 4 transfers, times 3, for a second: 1.2 s of work of 0.1 s each, of which a part is ours.
+    assertTrue(host.sent.size() >= 2 && host.sent.size() <= 12, "sent " + host.sent.size());
+    assertEquals(200, host.sent.size() + host.shed.size());
+  }
+
+  @ParameterizedTest
+  @CsvSource({"5, 0", "0, 9"})
+  void copiesFromBeforeAPurgeAreNotAskedForUntilAllHaveDroppedThem(long object, int group) {
+    assertEquals(0, hit(5, 0).age());
+    host.event(to -> to.purged(object, group, 100 * MS)).pass(400);
+    long age = hit(5, 0).age();
+    assertTrue(age > 400 * MS && age < 500 * MS, "younger than the purge: " + age);
+    assertEquals(object == 0, hit(6, 0).age() > 0, "another object of the group");
+    Sent busy = host.get(++ids, 7, 0);
+    host.pass(6500);
+    assertEquals(0, hit(5, 0).age());
+    assertNotNull(busy);
+  }
+
+  // ---- Failures met.
+
+  @Test
+  void aCrashedCacheIsLeftAtOnceThenTriedAndTrusted() {
+    Sent sent = host.get(1, 5, 0);
+    host.ended(sent, Outcome.NO_CONNECTION, 1, Note.NOTHING);
+    Sent second = host.last(1);
+    assertNotEquals(sent.cache(), second.cache());
+    host.returned(second, 50, Note.HIT);
+    assertEquals(second.cache(), hit(5, 0).cache(), "set aside");
+    host.pass(300);
+    assertEquals(sent.cache(), hit(5, 0).cache(), "one GET as a trial");
+    assertEquals(second.cache(), hit(5, 0).cache(), "the trickle is thin");
+    for (int i = 0; i < 100; i++) {
+      host.pass(600);
+      for (long object = 1000; object < 1030; object++) {
+        hit(object, 0);
+      }
+    }
+    assertEquals(sent.cache(), hit(5, 0).cache(), "all went well");
+  }
+
+  @Test
+  void aHungCacheIsSetAsideAndItsGetsAreSentElsewhere() {
+    Sent stuck = host.get(++ids, 5, 0);
+    for (int i = 0; i < 150; i++) {
+      Sent sent = host.get(++ids, 2000 + i, 0);
+      if (sent.cache() != stuck.cache()) {
+        host.returned(sent, 50, Note.HIT);
+      }
+      host.pass(10);
+    }
+    Sent copy = host.last(stuck.get());
+    assertNotEquals(stuck.cache(), copy.cache());
+    host.returned(copy, 50, Note.HIT);
+    assertTrue(host.calledOff.contains(stuck.get() + "/0"));
+  }
+
+  @Test
+  void whenMostCachesFallSilentNoneIsSetAside() {
+    Set<Integer> used = new HashSet<>();
+    for (int i = 0; i < 100; i++) {
+      host.get(++ids, i, 0);
+      host.pass(10);
+    }
+    host.sent.subList(60, host.sent.size()).forEach(sent -> used.add(sent.cache()));
+    assertEquals(4, used.size());
+  }
+
+  @Test
+  void aSourceThatIsNotReachedIsPassedOver() {
+    Sent first = host.get(1, 5, 0);
+    host.ended(first, Outcome.TURNED_AWAY, 10, Note.SOURCE_UNREACHED);
+    assertEquals(first.cache(), host.last(1).cache(), "not the cache's fault");
+    assertNotEquals(first.source(), host.last(1).source());
+  }
+
+  /** Met on a day with a slow origin: both parents' fills timed out, and all fills went to the origin. */
+  @Test
+  void parentsBehindWhichTheOriginFailsStayTheSources() {
+    for (int i = 0; i < 40; i++) {
+      Sent sent = host.get(++ids, i, 0);
+      host.pass(50).ended(sent, Outcome.ERRORED, 50, Note.SOURCE_UNREACHED);
+    }
+    host.pass(1000);
+    assertTrue(host.get(++ids, 500, 0).source() != 7);
+  }
+
+  /** Met on the overload days and all three first incidents: misses queued and hits waited behind them. */
+  @Test
+  void whenFillsComeLateOnlyWhatIsHeldIsReturnedAndMissesAreShed() {
+    for (int i = 0; i < 60; i++) {
+      Sent sent = host.get(++ids, i, 0);
+      host.pass(250).returned(sent, 1500, Note.FILLED);
+    }
+    for (int i = 100; i < 130; i++) {
+      host.get(++ids, i, 0);
+    }
+    Sent held = host.get(++ids, 500, 0);
+    assertEquals(held.cache(), held.source());
+    host.ended(held, Outcome.NOT_STORED, 1, Note.NOTHING);
+    assertEquals(List.of(held.get()), host.shed);
+  }
+
+  /** Met on days with a slow origin: every expired copy was shed though an ageing one would have done. */
+  @Test
+  void whenTheOriginIsLateAgeingCopiesAndTheParentsOwnWillDo() {
+    host.fresh = 5000 * MS;
+    for (int i = 0; i < 60; i++) {
+      Sent sent = host.get(++ids, i, 0);
+      assertTrue(sent.has(Decisions.RENEW) && sent.age() == host.fresh);
+      host.pass(250).returned(sent, 1500, Note.FILLED_BY_ORIGIN);
+      host.returned(host.get(++ids, i, 0), 50, Note.FILLED);
+    }
+    for (int i = 100; i < 150; i++) {
+      host.get(++ids, i, 0);
+    }
+    Sent held = host.last(ids);
+    assertTrue(held.has(Decisions.HELD_ONLY) && !held.has(Decisions.RENEW));
+    assertEquals(2 * host.fresh, held.age());
+  }
+
+  @Test
+  void aCacheWhoseHitsComeLatePassesOnAndThenGetsAreShed() {
+    for (int i = 0; i < 200; i++) {
+      Sent sent = host.get(++ids, i, 0);
+      host.pass(250).returned(sent, 1500, Note.HIT);
+    }
+    for (int i = 300; i < 400; i++) {
+      host.get(++ids, i, 0);
+    }
+    assertTrue(host.shed.size() > 50, "shed " + host.shed.size());
+  }
+
+  /** Met on an overload day: GETs over the limit went straight to a parent and jammed it. */
+  @Test
+  void whatIsOverTheLimitDoesNotPassTheCachesBy() {
+    host.bypass = true;
+    aCacheWhoseHitsComeLatePassesOnAndThenGetsAreShed();
+    assertTrue(host.sent.stream().allMatch(sent -> sent.cache() < 4));
+  }
+
+  @Test
+  void aHotSegmentSpreadsOverTheNextCaches() {
+    Set<Integer> used = new HashSet<>();
+    for (int i = 0; i < 20; i++) {
+      used.add(host.get(++ids, 5, 4).cache());
+    }
+    assertTrue(used.size() > 1);
+  }
+
+  @Test
+  void furtherForwardsAreACappedShare() {
+    for (int i = 0; i < 400; i++) {
+      Sent sent = host.get(++ids, i, 0);
+      host.ended(sent, Outcome.TURNED_AWAY, 1, Note.NOTHING);
+      while (host.last(sent.get()) != sent) {
+        sent = host.last(sent.get());
+        host.ended(sent, Outcome.TURNED_AWAY, 1, Note.NOTHING);
+      }
+    }
+    int further = host.sent.size() - 400;
+    assertTrue(further > 40 && further <= 40 + 400 / 5, "further " + further);
+    assertEquals(400, host.shed.size());
+  }
+}
