--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -484,19 +484,23 @@
     return ramp >= 1 || member.spent(now, rate) + service.work() / 1e9 <= rate * site.fallTime() / 1e9;
   }
 
-  /** Work a second that this gateway may send: by size where told, else by what it sends to warm peers. */
+  /** Work a second that this gateway may send: by size where told, else by what warm peers usually return. */
   private double rate(Member member, double ramp) {
+    double part = site.weighsSizes() ? member.weight / member.cold.sharers : member.cold.usual;
+    return BUDGET * member.cold.fallMultiple * ramp * part;
+  }
+
+  /** Keeps the last figure while no peer is warm. Guards against starving a zone whose caches all restarted. */
+  private void usual(Cold cold, Member[] peers) {
     double carried = 0;
-    int others = 0;
-    for (Member peer : member.mid ? parents : caches) {
-      if (peer != member && peer.up && peer.ramp(now) >= 1) {
+    int warm = 0;
+    for (Member peer : peers) {
+      if (peer.up && peer.share > 0 && peer.ramp(now) >= 1) {
         carried += peer.carried(now, 0);
-        others++;
+        warm++;
       }
     }
-    double part = Math.max(1.0 / member.cold.sharers, carried / Math.max(1, others));
-    return BUDGET * member.cold.fallMultiple * ramp
-        * (site.weighsSizes() ? member.weight / member.cold.sharers : part);
+    cold.usual = Math.max(1.0 / cold.sharers, warm > 0 ? carried / warm : cold.usual);
   }
 
   private void charge(Member member, double work) {
@@ -531,6 +535,8 @@
     }
     judge(caches);
     judge(parents);
+    usual(coldCache, caches);
+    usual(coldParent, parents);
     for (Forward forward : new ArrayList<>(open)) {
       Get get = forward.get;
       boolean stuck = forward.cache.share == 0 || forward.source.share == 0 && forward.cache.late > 0;
@@ -677,7 +683,19 @@
   }
 
   /** What is guaranteed of members that have just started. */
-  private record Cold(double share, long time, double fallMultiple, int sharers) {
+  private static final class Cold {
+    final double share, fallMultiple;
+    final long time;
+    final int sharers;
+    double usual;
+
+    Cold(double share, long time, double fallMultiple, int sharers) {
+      this.share = share;
+      this.time = time;
+      this.fallMultiple = fallMultiple;
+      this.sharers = Math.max(1, sharers);
+      usual = 1.0 / this.sharers;
+    }
   }
 
   private static final class Member {
