--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -52,7 +52,7 @@
   private static final double CROWDED = 1.75, CROWD = 4;
   private static final double FIRST_LIMIT = 24, LEAST_LIMIT = 3, LATE_CUT = 0.85;
   private static final long CUT_EVERY = 200 * MS;
-  private static final double DEAR = 1.5, DEARER = 1.5, UNKEPT = 0.8;
+  private static final double DEAR = 1.5, DEARER = 1.5, UNKEPT = 0.8, UNSURE = 0.75;
 
   // Measurements: histograms with two bins to a doubling, halved when full.
   private static final int BINS = 24, FULL = 512;
@@ -315,7 +315,7 @@
 
   private void learn(Forward forward, Outcome outcome, long took, Note note) {
     Service service = forward.get.service;
-    boolean inTime = took <= forward.get.patience;
+    boolean inTime = took <= forward.get.patience * UNSURE;
     switch (outcome) {
       case RETURNED -> {
         service.returned(note);
