--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -52,7 +52,7 @@
   private static final double CROWDED = 1.75, CROWD = 4;
   private static final double FIRST_LIMIT = 24, LEAST_LIMIT = 3, LATE_CUT = 0.85;
   private static final long CUT_EVERY = 200 * MS;
-  private static final double DEAR = 1.5, DEARER = 1.5, UNKEPT = 0.8, UNSURE = 0.75;
+  private static final double DEAR = 1.5, DEARER = 1.5, UNKEPT = 0.8, PROMPT = 0.75;
 
   // Measurements: histograms with two bins to a doubling, halved when full.
   private static final int BINS = 24, FULL = 512;
@@ -84,6 +84,7 @@
   private double originFills;
   private double further = FURTHER_SAVED;
   private boolean sweeping;
+  private boolean told;
   private boolean watching;
 
   private long now;
@@ -118,12 +119,14 @@
     int segment = part == 0 ? 0 : Integer.SIZE - Integer.numberOfLeadingZeros(part);
     long sending = kb > 0 && site.flowKbPerSecond() > 0 ? (long) (kb / site.flowKbPerSecond() * 1e9) : 0;
     Get get = new Get(id, service, object, group, segment, now + timeLeft, write || site.neverKept(ds));
-    long work = sending > 0 ? sending : service.work();
+    long work = sending > 0 ? sending : shortest(object);
+    get.sized = work > 0;
+    work = work > 0 ? work : service.work();
     get.patience = site.latencyObjective(ds) + (long) (site.stretch(ds) * work);
     gets.put(id, get);
     further = Math.min(FURTHER_SAVED, further + FURTHER_SHARE);
+    told |= sending > 0;
     if (sending > 0) {
-      get.sized = true;
       service.measure(sending);
     }
 
@@ -144,13 +147,19 @@
   private long started(long object) {
     long[] stamps = starts.remove(object);
     long previous = stamps == null ? 0 : stamps[0];
-    starts.put(object, new long[] {now, previous});
+    starts.put(object, new long[] {now, previous, stamps == null ? 0 : stamps[2]});
     if (starts.size() > STARTS) {
       starts.remove(starts.keySet().iterator().next());
     }
     return previous;
   }
 
+  /** The shortest answer seen of an object: stands in for its size where that is not told. */
+  private long shortest(long object) {
+    long[] stamps = starts.get(object);
+    return stamps == null ? 0 : stamps[2];
+  }
+
   private long previousStart(long object) {
     long[] stamps = starts.get(object);
     return stamps == null ? 0 : stamps[1];
@@ -315,22 +324,25 @@
 
   private void learn(Forward forward, Outcome outcome, long took, Note note) {
     Service service = forward.get.service;
-    boolean inTime = took <= forward.get.patience * UNSURE;
+    boolean inTime = took <= forward.get.patience * PROMPT;
     switch (outcome) {
       case RETURNED -> {
         service.returned(note);
         forward.cache.carried(now, service.work() / 1e9);
         alive(forward.cache, forward.sentAt);
-        if (note == Note.HIT || note == Note.NOTHING) {
-          forward.cache.limit.answered(now, inTime, forward.cache.open);
-          if (!forward.get.sized) {
-            service.measure(took);
-          }
-        } else {
+        long[] stamps = starts.getOrDefault(forward.get.object, new long[3]);
+        stamps[2] = stamps[2] == 0 ? took : Math.min(stamps[2], took);
+        boolean hit = note == Note.HIT || note == Note.NOTHING;
+        boolean byOrigin = note == Note.FILLED_BY_ORIGIN;
+        if (hit && !told) {
+          service.measure(took);
+        } else if (!hit) {
           forward.source.carried(now, service.work() / 1e9);
-          boolean byOrigin = note == Note.FILLED_BY_ORIGIN;
           alive(forward.source, forward.sentAt);
-          (byOrigin ? originLimit : fillLimit).answered(now, inTime, byOrigin ? originFills : fills);
+        }
+        if (forward.get.sized) {
+          Limit limit = hit ? forward.cache.limit : byOrigin ? originLimit : fillLimit;
+          limit.answered(now, inTime, hit ? forward.cache.open : byOrigin ? originFills : fills);
         }
       }
       case TURNED_AWAY, NOT_STORED, ERRORED -> {
