--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -4,7 +4,6 @@
 import amberpath.Arrivals.Outcome;
 import amberpath.Site.Effect;
 import amberpath.Site.Group;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
@@ -57,6 +56,8 @@
   // Measurements: histograms with two bins to a doubling, halved when full.
   private static final int BINS = 24, FULL = 512;
 
+  private static final long[] NEVER = new long[3];
+
   private final Site site;
   private final Service[] services;
   private final Cold coldCache;
@@ -70,14 +71,12 @@
 
   private final Map<Long, Get> gets = new HashMap<>();
   private final LinkedHashSet<Forward> open = new LinkedHashSet<>();
+  /** By object: its last start, the one before, and its shortest answer, standing in for an untold size. */
   private final Map<Long, long[]> starts = new LinkedHashMap<>();
   private final long[] tableObject = new long[TABLE];
   private final int[] tableSegment = new int[TABLE];
   private int tabled;
-  private final Map<Long, Long> purgedObjects = new HashMap<>();
-  private final Map<Integer, Long> purgedGroups = new HashMap<>();
-  private final ArrayDeque<Runnable> forgetting = new ArrayDeque<>();
-  private final ArrayDeque<Long> forgetAt = new ArrayDeque<>();
+  private final Map<Long, Long> purges = new HashMap<>();
   private final Limit fillLimit = new Limit();
   private final Limit originLimit = new Limit();
   private double fills;
@@ -119,7 +118,7 @@
     int segment = part == 0 ? 0 : Integer.SIZE - Integer.numberOfLeadingZeros(part);
     long sending = kb > 0 && site.flowKbPerSecond() > 0 ? (long) (kb / site.flowKbPerSecond() * 1e9) : 0;
     Get get = new Get(id, service, object, group, segment, now + timeLeft, write || site.neverKept(ds));
-    long work = sending > 0 ? sending : shortest(object);
+    long work = sending > 0 ? sending : starts.getOrDefault(object, NEVER)[2];
     get.sized = work > 0;
     work = work > 0 ? work : service.work();
     get.patience = site.latencyObjective(ds) + (long) (site.stretch(ds) * work);
@@ -145,24 +144,16 @@
 
   /** Notes a start; returns the object's start before it, or 0. */
   private long started(long object) {
-    long[] stamps = starts.remove(object);
-    long previous = stamps == null ? 0 : stamps[0];
-    starts.put(object, new long[] {now, previous, stamps == null ? 0 : stamps[2]});
+    long[] stamps = starts.containsKey(object) ? starts.remove(object) : NEVER;
+    starts.put(object, new long[] {now, stamps[0], stamps[2]});
     if (starts.size() > STARTS) {
       starts.remove(starts.keySet().iterator().next());
     }
-    return previous;
-  }
-
-  /** The shortest answer seen of an object: stands in for its size where that is not told. */
-  private long shortest(long object) {
-    long[] stamps = starts.get(object);
-    return stamps == null ? 0 : stamps[2];
+    return stamps[0];
   }
 
   private long previousStart(long object) {
-    long[] stamps = starts.get(object);
-    return stamps == null ? 0 : stamps[1];
+    return starts.getOrDefault(object, NEVER)[1];
   }
 
   /** Whether a later segment is kept: contiguous and, the table full, worth more than the least in it. */
@@ -276,22 +267,14 @@
 
   /** The oldest copy that will do. Guards against purged copies until all caches have dropped theirs. */
   private long age(Get get, long oldest) {
-    long purged = purgedObjects.getOrDefault(get.object, 0L);
-    purged = Math.max(purged, purgedGroups.getOrDefault(get.group, 0L));
+    long purged = Math.max(purges.getOrDefault(get.object, 0L), purges.getOrDefault(~(long) get.group, 0L));
     long bound = Math.max(MS, now - purged - MS);
-    return purged > 0 && (oldest == 0 || bound < oldest) ? bound : oldest;
+    return now - purged <= site.purgeTakes() && (oldest == 0 || bound < oldest) ? bound : oldest;
   }
 
   @Override public void purged(long object, int group, long ago) {
-    long at = now - ago;
-    if (object != 0) {
-      purgedObjects.merge(object, at, Math::max);
-      forgetting.add(() -> purgedObjects.remove(object, at));
-    } else {
-      purgedGroups.merge(group, at, Math::max);
-      forgetting.add(() -> purgedGroups.remove(group, at));
-    }
-    forgetAt.add(now + site.purgeTakes());
+    purges.values().removeIf(at -> now - at > site.purgeTakes());
+    purges.merge(object != 0 ? object : ~(long) group, now - ago, Math::max);
   }
 
   // ---- How forwards end.
@@ -330,8 +313,8 @@
         service.returned(note);
         forward.cache.carried(now, service.work() / 1e9);
         alive(forward.cache, forward.sentAt);
-        long[] stamps = starts.getOrDefault(forward.get.object, new long[3]);
-        stamps[2] = stamps[2] == 0 ? took : Math.min(stamps[2], took);
+        starts.computeIfPresent(forward.get.object, (object, stamps) -> new long[] {stamps[0], stamps[1],
+            stamps[2] == 0 ? took : Math.min(stamps[2], took)});
         boolean hit = note == Note.HIT || note == Note.NOTHING;
         boolean byOrigin = note == Note.FILLED_BY_ORIGIN;
         if (hit && !told) {
@@ -444,13 +427,9 @@
 
   /** How many forwards out, a unit of weight, are too many: guards against hot segments and slow caches. */
   private double crowd(Member[] among) {
-    double held = 0;
-    double weights = 0;
-    for (Member member : among) {
-      held += member.up ? member.open : 0;
-      weights += member.up ? member.weight : 0;
-    }
-    return weights == 0 ? 0 : (CROWDED * held + CROWD) / weights;
+    double held = Arrays.stream(among).mapToDouble(member -> member.up ? member.open : 0).sum();
+    double weights = Arrays.stream(among).mapToDouble(member -> member.up ? member.weight : 0).sum();
+    return (CROWDED * held + CROWD) / Math.max(weights, 1e-3);
   }
 
   private void count(Forward forward, double likely) {
@@ -502,17 +481,11 @@
     return BUDGET * member.cold.fallMultiple * ramp * part;
   }
 
-  /** Keeps the last figure while no peer is warm. Guards against starving a zone whose caches all restarted. */
+  /** Keeps the last figure while no peer is warm: a zone whose caches all restarted must not starve. */
   private void usual(Cold cold, Member[] peers) {
-    double carried = 0;
-    int warm = 0;
-    for (Member peer : peers) {
-      if (peer.up && peer.share > 0 && peer.ramp(now) >= 1) {
-        carried += peer.carried(now, 0);
-        warm++;
-      }
-    }
-    cold.usual = Math.max(1.0 / cold.sharers, warm > 0 ? carried / warm : cold.usual);
+    double mean = Arrays.stream(peers).filter(peer -> peer.up && peer.share > 0 && peer.ramp(now) >= 1)
+        .mapToDouble(peer -> peer.carried(now, 0)).average().orElse(cold.usual);
+    cold.usual = Math.max(1.0 / cold.sharers, mean);
   }
 
   private void charge(Member member, double work) {
@@ -526,10 +499,6 @@
     if (sweeping) {
       out.wake(SWEEP, "sweep");
     }
-    while (!forgetAt.isEmpty() && forgetAt.peek() <= now) {
-      forgetAt.poll();
-      forgetting.poll().run();
-    }
     members.values().forEach(member -> member.late = 0);
     fills = 0;
     originFills = 0;
