--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -77,9 +77,7 @@
   private final int[] tableSegment = new int[TABLE];
   private int tabled;
   private final Map<Long, Long> purges = new HashMap<>();
-  private final Limit fillLimit = new Limit();
   private final Limit originLimit = new Limit();
-  private double fills;
   private double originFills;
   private double further = FURTHER_SAVED;
   private boolean sweeping;
@@ -190,10 +188,10 @@
 
   /** Picks source and edge cache and forwards; false where there is none. */
   private boolean place(Get get) {
-    Member source = crowded(get, fillLimit, fills) ? null : source(get);
+    Member source = source(get);
     Member cache = get.write && site.bypass() && source != null ? source : cache(get);
     if (cache != null) {
-      forward(get, cache, source, source == null || crowded(get, originLimit, originFills));
+      forward(get, cache, source, source == null || crowdedOrigin(get));
     }
     return cache != null;
   }
@@ -203,16 +201,20 @@
     Member best = first(caches, get, get.segment, true, true);
     best = best != null ? best : first(caches, get, get.segment, true, false);
     best = best != null ? best : first(caches, get, get.segment, false, false);
-    return best != null && best.open < best.most(now) * dear(get.service) ? best : null;
+    return best != null && best.held < best.most(now) * dear(get.service) ? best : null;
   }
 
-  /** The source of a fill: by hash of the object over all listed parents; the origin when none will do. */
+  /**
+   * The source of a fill: by hash of the object over all listed parents; the origin when none stands. None when the
+   * parents are past their limits: the GET is then returned only from what its cache holds, so that hits do not wait
+   * behind misses. Guards against jammed links, parents and scans of any cause.
+   */
   private Member source(Get get) {
-    Member best = first(parents, get, 0, true, false);
-    if (best == null && origin != null && origin.up && !get.tried.contains(origin)) {
-      best = origin;
+    Member best = first(parents, get, 0, true, !get.write);
+    if (best != null || first(parents, get, 0, true, false) != null) {
+      return best;
     }
-    return best != null ? best : first(parents, get, 0, false, false);
+    return origin != null && origin.up && !get.tried.contains(origin) ? origin : first(parents, get, 0, false, false);
   }
 
   /**
@@ -223,7 +225,7 @@
     Member best = null;
     double highest = -1;
     double crowd = room ? crowd(among) : 0;
-    double dear = dear(get.service);
+    double dear = dear(get.service) * (among == parents && get.rank == 0 ? UNKEPT : 1);
     for (Member member : among) {
       if (!member.up || get.tried.contains(member) || !permits(get, member)) {
         continue;
@@ -231,7 +233,7 @@
       long key = mix(get.object * 31 + segment ^ member.hash);
       double score = member.weight / -Math.log(unit(key));
       if (score > highest && (!standing || takes(member, unit(mix(key + 1))))
-          && (!room || member.open <= crowd * member.weight && member.open < member.most(now) * dear)
+          && (!room || member.held <= crowd * member.weight && member.held < member.most(now) * dear)
           && affords(member, get.service)) {
         best = member;
         highest = score;
@@ -251,7 +253,7 @@
     get.forwards.add(sent);
     get.out++;
     open.add(sent);
-    if (cache.open++ == 0) {
+    if (cache.held++ == 0) {
       cache.heardAt = now;
     }
     charge(cache, get.service.work() / 1e9);
@@ -291,7 +293,7 @@
     }
     Forward forward = get.forwards.get(copy);
     get.out--;
-    forward.cache.open--;
+    forward.cache.held--;
     learn(forward, outcome, took, note);
     if (!outcome.notRun && (get.ran == null || forward.sentAt < get.ran.sentAt)) {
       get.ran = forward;
@@ -324,8 +326,8 @@
           alive(forward.source, forward.sentAt);
         }
         if (forward.get.sized) {
-          Limit limit = hit ? forward.cache.limit : byOrigin ? originLimit : fillLimit;
-          limit.answered(now, inTime, hit ? forward.cache.open : byOrigin ? originFills : fills);
+          Member whose = hit ? forward.cache : forward.source;
+          (byOrigin ? originLimit : whose.limit).answered(now, inTime, byOrigin ? originFills : whose.held);
         }
       }
       case TURNED_AWAY, NOT_STORED, ERRORED -> {
@@ -349,7 +351,7 @@
       boolean source = note.compareTo(Note.SOURCE_TURNED_AWAY) >= 0 && note != Note.NO_PLACE;
       get.tried.add(source ? last.source : last.cache);
     }
-    if (heldOnly && (crowded(get, fillLimit, fills) || crowded(get, originLimit, originFills))
+    if (heldOnly && (source(get) == null || crowdedOrigin(get))
         || outcome == Outcome.NO_ANSWER || !again(get)) {
       giveUp(get);
     }
@@ -407,12 +409,9 @@
 
   // ---- Limits.
 
-  /**
-   * Guards against a jammed fill path or origin of any cause: past the limit on fills a GET is returned only
-   * from what its cache holds, past that on fills by way of the origin only from what cache or parent holds.
-   */
-  private boolean crowded(Get get, Limit limit, double held) {
-    return !get.write && held >= limit.most * dear(get.service) * (get.rank == 0 ? UNKEPT : 1);
+  /** Guards against a slow origin: past the limit only what cache or parent hold is returned, ageing too. */
+  private boolean crowdedOrigin(Get get) {
+    return !get.write && originFills >= originLimit.most * dear(get.service) * (get.rank == 0 ? UNKEPT : 1);
   }
 
   /** By how much a delivery service may pass a limit: those with the most revenue for the work come last. */
@@ -427,13 +426,13 @@
 
   /** How many forwards out, a unit of weight, are too many: guards against hot segments and slow caches. */
   private double crowd(Member[] among) {
-    double held = Arrays.stream(among).mapToDouble(member -> member.up ? member.open : 0).sum();
+    double held = Arrays.stream(among).mapToDouble(member -> member.up ? member.held : 0).sum();
     double weights = Arrays.stream(among).mapToDouble(member -> member.up ? member.weight : 0).sum();
     return (CROWDED * held + CROWD) / Math.max(weights, 1e-3);
   }
 
   private void count(Forward forward, double likely) {
-    fills += likely;
+    forward.source.held += likely;
     originFills += forward.heldOnly ? 0 : likely < 1 ? likely * forward.get.service.originShare() : 1;
   }
 
@@ -464,7 +463,7 @@
 
   /** Whether a member takes a key, by its place in the shared hash: cold ramp's slice, and trickle. */
   private boolean takes(Member member, double place) {
-    return member.share == 0 ? now >= member.trialAt && member.open == 0
+    return member.share == 0 ? now >= member.trialAt && member.held < 1
         : place < member.share && (member.ramp(now) >= 1 || place < SLICE * member.ramp(now));
   }
 
@@ -499,8 +498,10 @@
     if (sweeping) {
       out.wake(SWEEP, "sweep");
     }
-    members.values().forEach(member -> member.late = 0);
-    fills = 0;
+    for (Member member : members.values()) {
+      member.late = 0;
+      member.held = member.mid || member.origin ? 0 : member.held;
+    }
     originFills = 0;
     for (Forward forward : open) {
       Get get = forward.get;
@@ -689,7 +690,8 @@
     double weight;
     Cold cold;
     long startedAt, heardAt;
-    int open, late, strikes;
+    int late, strikes;
+    double held;
     double share = 1;
     long pause = PAUSE;
     long sharedAt, setAsideAt, trialAt, spentAt, carriedAt;
