--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -210,11 +210,17 @@
    * behind misses. Guards against jammed links, parents and scans of any cause.
    */
   private Member source(Get get) {
-    Member best = first(parents, get, 0, true, !get.write);
-    if (best != null || first(parents, get, 0, true, false) != null) {
-      return best;
+    Member best = first(parents, get, 0, true, false);
+    if (best != null) {
+      return get.write || best.held < best.most(now) * unkept(get) ? best : null;
     }
-    return origin != null && origin.up && !get.tried.contains(origin) ? origin : first(parents, get, 0, false, false);
+    boolean usable = origin != null && origin.up && !get.tried.contains(origin);
+    return usable ? origin : first(parents, get, 0, false, false);
+  }
+
+  /** By how much a GET may pass the limits on fills. */
+  private double unkept(Get get) {
+    return dear(get.service) * (get.rank == 0 ? UNKEPT : 1);
   }
 
   /**
@@ -225,7 +231,7 @@
     Member best = null;
     double highest = -1;
     double crowd = room ? crowd(among) : 0;
-    double dear = dear(get.service) * (among == parents && get.rank == 0 ? UNKEPT : 1);
+    double dear = dear(get.service);
     for (Member member : among) {
       if (!member.up || get.tried.contains(member) || !permits(get, member)) {
         continue;
@@ -411,7 +417,7 @@
 
   /** Guards against a slow origin: past the limit only what cache or parent hold is returned, ageing too. */
   private boolean crowdedOrigin(Get get) {
-    return !get.write && originFills >= originLimit.most * dear(get.service) * (get.rank == 0 ? UNKEPT : 1);
+    return !get.write && originFills >= originLimit.most * unkept(get);
   }
 
   /** By how much a delivery service may pass a limit: those with the most revenue for the work come last. */
