--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -205,9 +205,9 @@
   }
 
   /**
-   * The source of a fill: by hash of the object over all listed parents; the origin when none stands. None when the
-   * parents are past their limits: the GET is then returned only from what its cache holds, so that hits do not wait
-   * behind misses. Guards against jammed links, parents and scans of any cause.
+   * The source of a fill: by hash of the object over all listed parents; the origin when none stands. None when
+   * that one is past its limit: the GET is then returned only from what its cache holds, so that hits do not
+   * wait behind misses. Guards against jammed links, parents and scans of any cause.
    */
   private Member source(Get get) {
     Member best = first(parents, get, 0, true, false);
@@ -215,7 +215,8 @@
       return get.write || best.held < best.most(now) * unkept(get) ? best : null;
     }
     boolean usable = origin != null && origin.up && !get.tried.contains(origin);
-    return usable ? origin : first(parents, get, 0, false, false);
+    best = usable ? origin : first(parents, get, 0, false, false);
+    return best == origin && crowdedOrigin(get) ? null : best;
   }
 
   /** By how much a GET may pass the limits on fills. */
@@ -486,7 +487,7 @@
     return BUDGET * member.cold.fallMultiple * ramp * part;
   }
 
-  /** Keeps the last figure while no peer is warm: a zone whose caches all restarted must not starve. */
+  /** Keeps the last figure while no peer is warm, so that a zone that all restarted does not starve. */
   private void usual(Cold cold, Member[] peers) {
     double mean = Arrays.stream(peers).filter(peer -> peer.up && peer.share > 0 && peer.ramp(now) >= 1)
         .mapToDouble(peer -> peer.carried(now, 0)).average().orElse(cold.usual);
