Limits are each gateway's part of the whole, and a cut starts from what is out

First and least limits were constants a gateway, and a limit of 24 that never bound took many cuts to bind at five GETs a second. Now they are a part by gateways and caches told, under one GET by chance. Covers other jams of links, parents and origin; may hurt where few gateways are told but many share.

--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -47,7 +47,9 @@
   private static final double FURTHER_SHARE = 0.2, FURTHER_SAVED = 40;
   private static final long LEAST_LEFT = 20 * MS;
 
-  // Limits. Past CROWDED times its part, and CROWD more, a cache passes on before its limit.
+  // Limits, for a gateway that has EACH caches to itself; others take their part of them.
+  // Past CROWDED times its part, and CROWD more, a cache passes on before its limit.
+  private static final double EACH = 3;
   private static final double CROWDED = 1.75, CROWD = 4;
   private static final double FIRST_LIMIT = 24, LEAST_LIMIT = 3, LATE_CUT = 0.85;
   private static final long CUT_EVERY = 200 * MS;
@@ -197,7 +199,7 @@
     Member best = first(caches, get, get.segment, true, true);
     best = best != null ? best : first(caches, get, get.segment, true, false);
     best = best != null ? best : first(caches, get, get.segment, false, false);
-    return best != null && best.held < best.most(now) * dear(get.service) ? best : null;
+    return best != null && hasRoom(best, dear(get.service)) ? best : null;
   }
 
   /**
@@ -208,7 +210,7 @@
   private Member source(Get get) {
     Member best = first(parents, get, 0, true, false);
     if (best != null) {
-      return get.write || best.held < best.most(now) * unkept(get) ? best : null;
+      return get.write || hasRoom(best, unkept(get)) ? best : null;
     }
     boolean usable = origin != null && origin.up && !get.tried.contains(origin);
     best = usable ? origin : first(parents, get, 0, false, false);
@@ -236,7 +238,7 @@
       long key = mix(get.object * 31 + segment ^ member.hash);
       double score = member.weight / -Math.log(unit(key));
       if (score > highest && (!standing || takes(member, unit(mix(key + 1))))
-          && (!room || member.held <= crowd * member.weight && member.held < member.most(now) * dear)
+          && (!room || member.held <= crowd * member.weight && hasRoom(member, dear))
           && affords(member, get.service)) {
         best = member;
         highest = score;
@@ -333,7 +335,7 @@
         }
         if (forward.get.sized) {
           Member whose = hit ? forward.cache : forward.source;
-          (byOrigin ? originLimit : whose.limit).answered(now, inTime, byOrigin ? originFills : whose.held);
+          (byOrigin ? originLimit : whose.limit).answered(now, inTime, byOrigin ? originFills : whose.held + 1);
         }
       }
       case TURNED_AWAY, NOT_STORED, ERRORED -> {
@@ -421,7 +423,12 @@
 
   /** Guards against a slow origin: past the limit only what cache or parent hold is returned, ageing too. */
   private boolean crowdedOrigin(Get get) {
-    return !get.write && originFills >= originLimit.most * unkept(get);
+    return !get.write && originFills + random.nextDouble() >= originLimit.most * unkept(get);
+  }
+
+  /** A part of a forward is left to chance, so that many gateways together keep a limit of under one each. */
+  private boolean hasRoom(Member member, double dear) {
+    return member.held + random.nextDouble() < member.most(now) * dear;
   }
 
   /** By how much a delivery service may pass a limit: those with the most revenue for the work come last. */
@@ -570,7 +577,7 @@
     member.cold = member.mid || member.origin ? coldParent : coldCache;
     if (startedAt > member.startedAt) {
       member.startedAt = startedAt;
-      member.limit.most = FIRST_LIMIT;
+      member.limit.most = 0;
       member.share = 1;
       member.pause = PAUSE;
     }
@@ -580,6 +587,11 @@
     caches = members(member -> !member.mid && !member.origin && member.zone.equals(site.zone()));
     parents = members(member -> member.mid);
     origin = Arrays.stream(members(member -> member.origin)).findFirst().orElse(null);
+    double all = members(member -> !member.mid && !member.origin && member.up).length;
+    double ofAll = all / EACH / Math.max(1, site.gateways());
+    originLimit.share(ofAll);
+    members.values().forEach(member ->
+        member.limit.share(member.mid || member.origin ? ofAll : 1.0 / Math.max(1, site.gatewaysHere())));
   }
 
   private Member[] members(Predicate<Member> which) {
@@ -659,14 +671,21 @@
 
   /** How much may be out at once. Guards against overload: late answers cut it, others widen it. */
   private static final class Limit {
-    double most = FIRST_LIMIT;
+    double share, most;
     long cutAt;
 
+    /** Guards against the sum of many gateways' limits: this gateway's part follows from what is told. */
+    void share(double part) {
+      share = Math.max(part, 1e-3);
+      most = most == 0 ? FIRST_LIMIT * share : most;
+    }
+
+    /** A late answer cuts from what was out, so that a limit that never bound binds at once. */
     void answered(long now, boolean inTime, double held) {
       if (inTime) {
-        most += 2 * held >= most ? 1 / most : 0;
+        most += 2 * held >= most ? share / most : 0;
       } else if (now - cutAt > CUT_EVERY) {
-        most = Math.max(LEAST_LIMIT, most * LATE_CUT);
+        most = Math.max(LEAST_LIMIT * share, Math.min(most, 2 * held + share) * LATE_CUT);
         cutAt = now;
       }
     }
