--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -6,8 +6,8 @@
 import amberpath.Site.Group;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Comparator;
 import java.util.HashMap;
+import java.util.TreeMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -66,7 +66,7 @@
   private final Cold coldParent;
   private final SplittableRandom random;
 
-  private final Map<Integer, Member> members = new HashMap<>();
+  private final Map<Integer, Member> members = new TreeMap<>();
   private Member[] caches = {};
   private Member[] parents = {};
   private Member origin;
@@ -115,9 +115,12 @@
   @Override public void get(long id, int ds, long object, int group, int part, long timeLeft, double kb,
       boolean write) {
     Service service = services[ds];
-    int segment = part == 0 ? 0 : Integer.SIZE - Integer.numberOfLeadingZeros(part);
+    int segment = Integer.SIZE - Integer.numberOfLeadingZeros(part);
     long sending = kb > 0 && site.flowKbPerSecond() > 0 ? (long) (kb / site.flowKbPerSecond() * 1e9) : 0;
-    Get get = new Get(id, service, object, group, segment, now + timeLeft, write || site.neverKept(ds));
+    Get get = new Get(id, service, object, group);
+    get.segment = segment;
+    get.due = now + timeLeft;
+    get.write = write || site.neverKept(ds);
     long work = sending > 0 ? sending : starts.getOrDefault(object, NEVER)[2];
     get.sized = work > 0;
     work = work > 0 ? work : service.work();
@@ -130,12 +133,8 @@
     }
 
     long previous = part == 0 ? started(object) : starts.getOrDefault(object, NEVER)[1];
-    if (get.write) {
-      get.rank = 0;
-    } else if (segment < KMIN) {
-      get.rank = previous == 0 ? FIRST_RANK : RANK;
-    } else if (admitted(object, segment, previous)) {
-      get.rank = RANK;
+    if (!get.write && (segment < KMIN || admitted(object, segment, previous))) {
+      get.rank = segment < KMIN && previous == 0 ? FIRST_RANK : RANK;
     }
     if (!place(get)) {
       giveUp(get);
@@ -212,8 +211,8 @@
     if (best != null) {
       return get.write || hasRoom(best, unkept(get)) ? best : null;
     }
-    boolean usable = origin != null && origin.up && !get.tried.contains(origin);
-    best = usable ? origin : first(parents, get, 0, false, false);
+    best = origin != null && origin.up && !get.tried.contains(origin) ? origin
+        : first(parents, get, 0, false, false);
     return best == origin && crowdedOrigin(get) ? null : best;
   }
 
@@ -371,8 +370,8 @@
 
   /** Sends the GET again, elsewhere; false where that may not be. */
   private boolean again(Get get) {
-    boolean may = !get.streaming && get.due - now >= LEAST_LEFT && get.forwards.size() < site.maxForwards();
-    return may && further >= 1 && further-- >= 1 && place(get);
+    return !get.streaming && get.due - now >= LEAST_LEFT && get.forwards.size() < site.maxForwards()
+        && further >= 1 && further-- >= 1 && place(get);
   }
 
   /** The final answer of a GET that is not returned. A shed promises that nothing ran, an error nothing. */
@@ -391,10 +390,8 @@
   /** Nothing more is owed; a GET is held on only to learn from the forwards that are still out. */
   private void finish(Get get) {
     get.done = true;
-    for (Forward forward : get.forwards) {
-      if (site.callOff() && !get.streaming && open.contains(forward)) {
-        out.callOff(get.id, forward.copy);
-      }
+    if (site.callOff() && !get.streaming) {
+      get.forwards.stream().filter(open::contains).forEach(forward -> out.callOff(get.id, forward.copy));
     }
     if (get.out == 0) {
       gets.remove(get.id);
@@ -443,9 +440,13 @@
 
   /** How many forwards out, a unit of weight, are too many: guards against hot segments and slow caches. */
   private double crowd(Member[] among) {
-    double held = Arrays.stream(among).mapToDouble(member -> member.up ? member.held : 0).sum();
-    double weights = Arrays.stream(among).mapToDouble(member -> member.up ? member.weight : 0).sum();
-    return (CROWDED * held + CROWD) / Math.max(weights, 1e-3);
+    double held = 0;
+    double weights = 1e-3;
+    for (Member member : among) {
+      held += member.up ? member.held : 0;
+      weights += member.up ? member.weight : 0;
+    }
+    return (CROWDED * held + CROWD) / weights;
   }
 
   private void count(Forward forward, double likely) {
@@ -567,7 +568,7 @@
 
   @Override public void member(int cache, String address, String zone, String kind, int cell,
       Arrivals.State state, double weight, long startedAt) {
-    Member member = members.computeIfAbsent(cache, index -> new Member(index, hash(address)));
+    Member member = members.computeIfAbsent(cache, index -> new Member(index, mix(address.hashCode())));
     member.zone = zone;
     member.cell = cell;
     member.up = state == Arrivals.State.UP;
@@ -595,20 +596,11 @@
   }
 
   private Member[] members(Predicate<Member> which) {
-    return members.values().stream().filter(which).sorted(Comparator.comparingLong(member -> member.hash))
-        .toArray(Member[]::new);
+    return members.values().stream().filter(which).toArray(Member[]::new);
   }
 
   // ---- Hashes on stable ids, so that all gateways agree.
 
-  private static long hash(String text) {
-    long hash = 0xcbf29ce484222325L;
-    for (int i = 0; i < text.length(); i++) {
-      hash = (hash ^ text.charAt(i)) * 0x100000001b3L;
-    }
-    return mix(hash);
-  }
-
   private static long mix(long value) {
     value = (value ^ (value >>> 30)) * 0xbf58476d1ce4e5b9L;
     value = (value ^ (value >>> 27)) * 0x94d049bb133111ebL;
@@ -758,24 +750,20 @@
 
   private static final class Get {
     final Service service;
-    final long id, object, due;
-    final int group, segment;
-    final boolean write;
+    final long id, object;
+    final int group;
     final List<Forward> forwards = new ArrayList<>(2);
     final List<Member> tried = new ArrayList<>(2);
-    long patience;
-    int rank, out;
-    boolean sized, streaming, done;
+    long due, patience;
+    int segment, rank, out;
+    boolean write, sized, streaming, done;
     Forward ran;
 
-    Get(long id, Service service, long object, int group, int segment, long due, boolean write) {
+    Get(long id, Service service, long object, int group) {
       this.id = id;
       this.service = service;
       this.object = object;
       this.group = group;
-      this.segment = segment;
-      this.due = due;
-      this.write = write;
     }
   }
 
