The trickle doubles with time instead of with answers, and trials come at chance moments

Cause: a gateway at five GETs a second gets no answer through a sixteenth of a cache's keys for half a minute, so a cache once set aside stayed away; sixty gateways that set one aside together also tried it again together. Covers any false or short outage; may hurt where a cache is well for one GET only, which then costs late GETs until it is set aside again.

--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -459,30 +459,29 @@
   private void alive(Member member, long sentAt) {
     member.heardAt = now;
     member.strikes = 0;
-    if (member.share < 1 && sentAt >= member.setAsideAt && now - member.sharedAt >= STEP) {
-      member.share = member.share == 0 ? TRICKLE : Math.min(1, member.share * 2);
-      member.sharedAt = now;
-      member.pause = member.share == 1 ? PAUSE : member.pause;
+    if (member.share(now) == 1) {
+      member.trusted();
+    } else if (member.provedAt == 0 && sentAt >= member.setAsideAt) {
+      member.provedAt = now;
     }
   }
 
   /** Guards against crashed, hung and cut-off caches and sources; the list tells of them seconds late. */
   private void setAside(Member member) {
-    if (member == origin || member.share == 0 && now < member.trialAt) {
-      return;
+    if (member != origin && (member.share(now) > 0 || now >= member.trialAt)) {
+      member.strikes = 0;
+      member.setAsideAt = now;
+      member.provedAt = 0;
+      member.trialAt = now + member.pause / 2 + random.nextLong(member.pause);
+      member.pause = Math.min(LONGEST_PAUSE, 2 * member.pause);
     }
-    member.share = 0;
-    member.strikes = 0;
-    member.setAsideAt = now;
-    member.sharedAt = now - STEP;
-    member.trialAt = now + member.pause;
-    member.pause = Math.min(LONGEST_PAUSE, 2 * member.pause);
   }
 
   /** Whether a member takes a key, by its place in the shared hash: cold ramp's slice, and trickle. */
   private boolean takes(Member member, double place) {
-    return member.share == 0 ? now >= member.trialAt && member.held < 1
-        : place < member.share && (member.ramp(now) >= 1 || place < SLICE * member.ramp(now));
+    double share = member.share(now);
+    return share == 0 ? now >= member.trialAt && member.held < 1
+        : place < share && (member.ramp(now) >= 1 || place < SLICE * member.ramp(now));
   }
 
   /** Whether this gateway's part of what a cold member can bear has room for one more. */
@@ -500,7 +499,7 @@
 
   /** Keeps the last figure while no peer is warm, so that a zone that all restarted does not starve. */
   private void usual(Cold cold, Member[] peers) {
-    double mean = Arrays.stream(peers).filter(peer -> peer.up && peer.share > 0 && peer.ramp(now) >= 1)
+    double mean = Arrays.stream(peers).filter(peer -> peer.up && peer.share(now) > 0 && peer.ramp(now) >= 1)
         .mapToDouble(peer -> peer.carried(now, 0)).average().orElse(cold.usual);
     cold.usual = Math.max(1.0 / cold.sharers, mean);
   }
@@ -539,10 +538,10 @@
     usual(coldParent, parents);
     for (Forward forward : new ArrayList<>(open)) {
       Get get = forward.get;
-      boolean stuck = forward.cache.share == 0 || forward.source.share == 0 && forward.cache.late > 0;
+      boolean stuck = forward.cache.share(now) == 0 || forward.source.share(now) == 0 && forward.cache.late > 0;
       if (stuck && !get.done && get.out == 1 && now - forward.sentAt > get.patience && site.secondCopies()
           && site.effect(get.service.ds) == Effect.IDEMPOTENT) {
-        get.tried.add(forward.cache.share == 0 ? forward.cache : forward.source);
+        get.tried.add(forward.cache.share(now) == 0 ? forward.cache : forward.source);
         again(get);
       }
     }
@@ -551,7 +550,7 @@
   /** Sets aside who keeps GETs waiting and gives no sign of life, unless most of its peers do too. */
   private void judge(Member[] peers) {
     long up = Arrays.stream(peers).filter(member -> member.up).count();
-    long well = Arrays.stream(peers).filter(peer -> peer.up && !peer.waits() && peer.share > 0).count();
+    long well = Arrays.stream(peers).filter(peer -> peer.up && !peer.waits() && peer.share(now) > 0).count();
     for (Member member : peers) {
       if (member.up && member.waits() && now - member.heardAt > SILENCE && 2 * well >= up) {
         setAside(member);
@@ -579,8 +578,7 @@
     if (startedAt > member.startedAt) {
       member.startedAt = startedAt;
       member.limit.most = 0;
-      member.share = 1;
-      member.pause = PAUSE;
+      member.trusted();
     }
   }
 
@@ -711,9 +709,8 @@
     long startedAt, heardAt;
     int late, strikes;
     double held;
-    double share = 1;
     long pause = PAUSE;
-    long sharedAt, setAsideAt, trialAt, spentAt, carriedAt;
+    long setAsideAt, trialAt, provedAt, spentAt, carriedAt;
     double spent, carried;
 
     Member(int index, long hash) {
@@ -721,6 +718,17 @@
       this.hash = hash;
     }
 
+    void trusted() {
+      setAsideAt = 0;
+      pause = PAUSE;
+    }
+
+    /** The part of the keys it gets: none while set aside, then a trickle that doubles with time, not with
+     * answers: at a few GETs a second a thin slice would bring none for long. */
+    double share(long now) {
+      return setAsideAt == 0 ? 1 : provedAt == 0 ? 0 : Math.min(1, TRICKLE * (1L << (now - provedAt) / STEP));
+    }
+
     /** The part of its capacity that a member is sure to have. */
     double ramp(long now) {
       long since = Math.max(0, now - startedAt);
