--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -428,6 +428,11 @@
     return member.held + random.nextDouble() < member.most(now) * dear;
   }
 
+  /** The longest mean time to send an answer. */
+  private double dearest() {
+    return Arrays.stream(services).mapToDouble(Service::work).max().orElse(0);
+  }
+
   /** By how much a delivery service may pass a limit: those with the most revenue for the work come last. */
   private double dear(Service service) {
     for (Service other : services) {
@@ -484,17 +489,25 @@
         : place < share && (member.ramp(now) >= 1 || place < SLICE * member.ramp(now));
   }
 
-  /** Whether this gateway's part of what a cold member can bear has room for one more. */
+  /**
+   * Whether this gateway's part of what a cold member can bear has room for one more. Where the part is under
+   * one GET, one is let through when nothing is owed, and is owed for after: the sum over all gateways is kept.
+   */
   private boolean affords(Member member, Service service) {
-    double ramp = member.ramp(now);
-    double rate = ramp < 1 ? rate(member, ramp) : 0;
-    return ramp >= 1 || member.spent(now, rate) + service.work() / 1e9 <= rate * site.fallTime() / 1e9;
+    double spare = rate(member, now) * site.fallTime() / 1e9 - service.work() / 1e9;
+    return member.ramp(now) >= 1 || spent(member) <= Math.max(0, spare);
   }
 
   /** Work a second that this gateway may send: by size where told, else by what warm peers usually return. */
-  private double rate(Member member, double ramp) {
+  private double rate(Member member, long time) {
     double part = site.weighsSizes() ? member.weight / member.cold.sharers : member.cold.usual;
-    return BUDGET * member.cold.fallMultiple * ramp * part;
+    return BUDGET * member.cold.fallMultiple * member.ramp(time) * part;
+  }
+
+  /** What is owed of the work sent: it is paid off at a rate that rises with the ramp. */
+  private double spent(Member member) {
+    double paid = (rate(member, member.spentAt) + rate(member, now)) / 2 * (now - member.spentAt) / 1e9;
+    return Math.max(0, member.spent - paid);
   }
 
   /** Keeps the last figure while no peer is warm, so that a zone that all restarted does not starve. */
@@ -505,8 +518,7 @@
   }
 
   private void charge(Member member, double work) {
-    double ramp = member.ramp(now);
-    member.spent = ramp < 1 ? member.spent(now, rate(member, ramp)) + work : 0;
+    member.spent = member.ramp(now) < 1 ? spent(member) + work : 0;
     member.spentAt = now;
   }
 
@@ -578,6 +590,9 @@
     if (startedAt > member.startedAt) {
       member.startedAt = startedAt;
       member.limit.most = 0;
+      double first = random.nextDouble() * dearest() / 1e9 - rate(member, now) * site.fallTime() / 1e9;
+      member.spent = Math.max(0, first); // Not all gateways send their first at once.
+      member.spentAt = now;
       member.trusted();
     }
   }
@@ -744,10 +759,6 @@
       return late + strikes >= LATE;
     }
 
-    double spent(long now, double rate) {
-      return Math.max(0, spent - rate * (now - spentAt) / 1e9);
-    }
-
     /** Work returned a second, over the last few: what is only sent tells nothing of what can be carried. */
     double carried(long now, double more) {
       carried = carried * Math.exp(-(now - carriedAt) / CARRIED_OVER) + more * 1e9 / CARRIED_OVER;
--- a/src/test/java/amberpath/ControlTest.java
+++ b/src/test/java/amberpath/ControlTest.java
@@ -209,6 +209,27 @@
     assertTrue(cold >= 1 && cold <= 2, "sent " + cold);
   }
 
+  /** Met at full size: a hundred gateways' parts of a cold cache's budget are each less than one GET. */
+  @Test
+  void manyGatewaysTogetherKeepAColdCachesBudgetAndUseIt() {
+    int sent = 0;
+    for (int gateway = 0; gateway < 100; gateway++) {
+      FakeHost one = new FakeHost();
+      one.gateways = 100;
+      one.seed = gateway;
+      one.list();
+      IntStream.range(1, 4).forEach(cache -> one.change(cache, State.GONE, 0));
+      one.change(0, State.UP, one.now);
+      for (long id = 1; id <= 40; id++) {
+        one.get(id, id, 0);
+        one.pass(50);
+      }
+      sent += one.sent.size();
+    }
+    // A tenth to 0.28 of 4 transfers, times 3, for two seconds: 4.5 s of work of 0.1 s each.
+    assertTrue(sent >= 5 && sent <= 30, "sent " + sent);
+  }
+
   /** Met on a hunted day: caches and parents came back together, and nearly every GET was a fill. */
   @Test
   void aColdParentIsChargedInFullForWhatColdCachesAsk() {
--- a/src/test/java/amberpath/FakeHost.java
+++ b/src/test/java/amberpath/FakeHost.java
@@ -23,12 +23,14 @@
   long fresh = 0;
   boolean bypass = false;
   boolean sized = true;
+  int gateways = 1;
+  int seed = 7;
   final List<Sent> sent = new ArrayList<>();
   final List<Long> shed = new ArrayList<>();
   final List<Long> errored = new ArrayList<>();
   final List<String> calledOff = new ArrayList<>();
   long now = 1_000_000 * MS;
-  private final Control control = new Control(this);
+  private Control control;
   private final List<Consumer<Arrivals.Events>> events = new ArrayList<>();
   private long wakeAt = Long.MAX_VALUE;
 
@@ -98,6 +100,7 @@
   }
 
   FakeHost round() {
+    control = control == null ? new Control(this) : control;
     control.round(now, to -> events.forEach(event -> event.accept(to)), this);
     events.clear();
     return this;
@@ -128,15 +131,15 @@
   }
 
   @Override public long seed() {
-    return 7;
+    return seed;
   }
 
   @Override public int gateways() {
-    return 3;
+    return 3 * gateways;
   }
 
   @Override public int gatewaysHere() {
-    return 1;
+    return gateways;
   }
 
   @Override public String zone() {
