--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -342,20 +342,11 @@
         if (note.compareTo(Note.SOURCE_TURNED_AWAY) >= 0 && note != Note.NO_PLACE) {
           service.counted(note);
         }
-        if (note == Note.SOURCE_UNREACHED) {
-          forward.source.strikes++;
-          forward.source.limit.answered(now, false, forward.source.held);
-        }
+        forward.source.strikes += note == Note.SOURCE_UNREACHED ? 1 : 0;
         if (note == Note.ORIGIN_ERRORED || note == Note.SOURCE_TURNED_AWAY && forward.source == origin) {
           originLimit.answered(now, false, 0);
         }
       }
-      case NO_ANSWER -> {
-        Member silent = forward.cache.heardAt > forward.sentAt ? forward.source : forward.cache;
-        if (forward.get.sized) {
-          silent.limit.answered(now, false, silent.held);
-        }
-      }
       case LOST -> forward.cache.strikes++; // Guards against resets of single answers: no outage.
       case NO_CONNECTION -> setAside(forward.cache);
       default -> { }
