Limits under one GET are kept over time, and cut from what is used on average

What is out beyond the limit is now owed and paid off before the next may go; cuts start from the mean of two seconds. It may hurt where a burst follows a quiet spell: the limit then lets one GET more out than it says.

--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -51,7 +51,7 @@
   // Past CROWDED times its part, and CROWD more, a cache passes on before its limit.
   private static final double EACH = 3;
   private static final double CROWDED = 1.75, CROWD = 4;
-  private static final double FIRST_LIMIT = 24, LEAST_LIMIT = 3, LATE_CUT = 0.85;
+  private static final double FIRST_LIMIT = 24, LEAST_LIMIT = 3, LATE_CUT = 0.85, USED_OVER = 2;
   private static final long CUT_EVERY = 200 * MS;
   private static final double DEAR = 1.5, DEARER = 1.5, UNKEPT = 0.8, PROMPT = 0.75;
 
@@ -79,8 +79,7 @@
   private final int[] tableSegment = new int[TABLE];
   private int tabled;
   private final Map<Long, Long> purges = new HashMap<>();
-  private final Limit originLimit = new Limit();
-  private double originFills;
+  private final Load originLoad = new Load();
   private double further = FURTHER_SAVED;
   private boolean sweeping;
   private boolean told;
@@ -198,7 +197,7 @@
     Member best = first(caches, get, get.segment, true, true);
     best = best != null ? best : first(caches, get, get.segment, true, false);
     best = best != null ? best : first(caches, get, get.segment, false, false);
-    return best != null && hasRoom(best, dear(get.service)) ? best : null;
+    return best != null && best.hasRoom(now, dear(get.service)) ? best : null;
   }
 
   /**
@@ -209,7 +208,7 @@
   private Member source(Get get) {
     Member best = first(parents, get, 0, true, false);
     if (best != null) {
-      return get.write || hasRoom(best, unkept(get)) ? best : null;
+      return get.write || best.hasRoom(now, unkept(get)) ? best : null;
     }
     best = origin != null && origin.up && !get.tried.contains(origin) ? origin
         : first(parents, get, 0, false, false);
@@ -237,7 +236,7 @@
       long key = mix(get.object * 31 + segment ^ member.hash);
       double score = member.weight / -Math.log(unit(key));
       if (score > highest && (!standing || takes(member, unit(mix(key + 1))))
-          && (!room || member.held <= crowd * member.weight && hasRoom(member, dear))
+          && (!room || member.held <= crowd * member.weight && member.hasRoom(now, dear))
           && affords(member, get.service)) {
         best = member;
         highest = score;
@@ -334,7 +333,7 @@
         }
         if (forward.get.sized) {
           Member whose = hit ? forward.cache : forward.source;
-          (byOrigin ? originLimit : whose.limit).answered(now, inTime, byOrigin ? originFills : whose.held + 1);
+          (byOrigin ? originLoad : whose).answered(now, inTime);
         }
       }
       case TURNED_AWAY, NOT_STORED, ERRORED -> {
@@ -344,7 +343,7 @@
         }
         forward.source.strikes += note == Note.SOURCE_UNREACHED ? 1 : 0;
         if (note == Note.ORIGIN_ERRORED || note == Note.SOURCE_TURNED_AWAY && forward.source == origin) {
-          originLimit.answered(now, false, 0);
+          originLoad.answered(now, false);
         }
       }
       case LOST -> forward.cache.strikes++; // Guards against resets of single answers: no outage.
@@ -420,12 +419,7 @@
 
   /** Guards against a slow origin: past the limit only what cache or parent hold is returned, ageing too. */
   private boolean crowdedOrigin(Get get) {
-    return !get.write && originFills + random.nextDouble() >= originLimit.most * unkept(get);
-  }
-
-  /** A part of a forward is left to chance, so that many gateways together keep a limit of under one each. */
-  private boolean hasRoom(Member member, double dear) {
-    return member.held + random.nextDouble() < member.most(now) * dear;
+    return !get.write && !originLoad.hasRoom(now, unkept(get));
   }
 
   /** The longest mean time to send an answer. */
@@ -456,7 +450,7 @@
 
   private void count(Forward forward, double likely) {
     forward.source.held += likely;
-    originFills += forward.heldOnly ? 0 : likely < 1 ? likely * forward.get.service.originShare() : 1;
+    originLoad.held += forward.heldOnly ? 0 : likely < 1 ? likely * forward.get.service.originShare() : 1;
   }
 
   // ---- Standing, ramp and budget.
@@ -529,9 +523,11 @@
     }
     for (Member member : members.values()) {
       member.late = 0;
+      member.settle(now);
       member.held = member.mid || member.origin ? 0 : member.held;
     }
-    originFills = 0;
+    originLoad.settle(now);
+    originLoad.held = 0;
     for (Forward forward : open) {
       Get get = forward.get;
       long waited = now - forward.sentAt;
@@ -589,7 +585,7 @@
     member.cold = member.mid || member.origin ? coldParent : coldCache;
     if (startedAt > member.startedAt) {
       member.startedAt = startedAt;
-      member.limit.most = 0;
+      member.most = 0;
       double first = random.nextDouble() * dearest() / 1e9 - rate(member, now) * site.fallTime() / 1e9;
       member.spent = Math.max(0, first); // Not all gateways send their first at once.
       member.spentAt = now;
@@ -603,9 +599,9 @@
     origin = Arrays.stream(members(member -> member.origin)).findFirst().orElse(null);
     double all = members(member -> !member.mid && !member.origin && member.up).length;
     double ofAll = all / EACH / Math.max(1, site.gateways());
-    originLimit.share(ofAll);
+    originLoad.part(ofAll);
     members.values().forEach(member ->
-        member.limit.share(member.mid || member.origin ? ofAll : 1.0 / Math.max(1, site.gatewaysHere())));
+        member.part(member.mid || member.origin ? ofAll : 1.0 / Math.max(1, site.gatewaysHere())));
   }
 
   private Member[] members(Predicate<Member> which) {
@@ -674,23 +670,44 @@
     }
   }
 
-  /** How much may be out at once. Guards against overload: late answers cut it, others widen it. */
-  private static final class Limit {
-    double share, most;
-    long cutAt;
+  /**
+   * How much is out and may be out at once. Guards against overload: late answers cut it, others widen it. A
+   * share of under one GET is kept over time: what was out beyond it is owed before the next may go.
+   */
+  private static class Load {
+    double part, most, held, used, owed;
+    long settledAt, cutAt;
+
+    double ramp(long now) {
+      return 1;
+    }
 
     /** Guards against the sum of many gateways' limits: this gateway's part follows from what is told. */
-    void share(double part) {
-      share = Math.max(part, 1e-3);
-      most = most == 0 ? FIRST_LIMIT * share : most;
+    void part(double told) {
+      part = Math.max(told, 1e-3);
+      most = most == 0 ? FIRST_LIMIT * part : most;
     }
 
-    /** A late answer cuts from what was out, so that a limit that never bound binds at once. */
-    void answered(long now, boolean inTime, double held) {
+    void settle(long now) {
+      double passed = (now - settledAt) / 1e9;
+      used += (held - used) * passed / (passed + USED_OVER);
+      owed = Math.max(0, owed + (held - most * ramp(now)) * passed);
+      settledAt = now;
+    }
+
+    boolean hasRoom(long now, double dear) {
+      settle(now);
+      double room = most * ramp(now);
+      return held < room * dear && (held + 1 <= room * dear || owed <= room * Math.max(0, dear - UNKEPT));
+    }
+
+    /** A late answer cuts from what is used, so that a limit that never bound binds at once. */
+    void answered(long now, boolean inTime) {
+      settle(now);
       if (inTime) {
-        most += 2 * held >= most ? share / most : 0;
+        most += owed > 0 || 2 * held >= most ? part / most : 0;
       } else if (now - cutAt > CUT_EVERY) {
-        most = Math.max(LEAST_LIMIT * share, Math.min(most, 2 * held + share) * LATE_CUT);
+        most = Math.max(LEAST_LIMIT * part, Math.min(most, 2 * used + part) * LATE_CUT);
         cutAt = now;
       }
     }
@@ -712,10 +729,9 @@
     }
   }
 
-  private static final class Member {
+  private static final class Member extends Load {
     final int index;
     final long hash;
-    final Limit limit = new Limit();
     String zone;
     int cell;
     boolean up, mid, origin;
@@ -723,7 +739,6 @@
     Cold cold;
     long startedAt, heardAt;
     int late, strikes;
-    double held;
     long pause = PAUSE;
     long setAsideAt, trialAt, provedAt, spentAt, carriedAt;
     double spent, carried;
@@ -745,16 +760,11 @@
     }
 
     /** The part of its capacity that a member is sure to have. */
-    double ramp(long now) {
+    @Override double ramp(long now) {
       long since = Math.max(0, now - startedAt);
       return startedAt == 0 || since >= cold.time ? 1 : cold.share + (1 - cold.share) * since / cold.time;
     }
 
-    /** How much may be out there at once. Guards against a cold member that is slow besides. */
-    double most(long now) {
-      return limit.most * ramp(now);
-    }
-
     boolean waits() {
       return late + strikes >= LATE;
     }
