--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -354,8 +354,9 @@
 
   /** A further forward where the GET's kind, its time and the cap permit; else the final answer, at once. */
   private void tryFurther(Get get, Forward last, Outcome outcome, Note note) {
+    get.unfilled |= note == Note.ORIGIN_ERRORED; // Another parent would only ask the same origin again.
     boolean heldOnly = last.heldOnly && outcome == Outcome.NOT_STORED;
-    if (heldOnly) {
+    if (heldOnly || get.unfilled) {
       further++;
     } else {
       boolean source = note.compareTo(Note.SOURCE_TURNED_AWAY) >= 0 && note != Note.NO_PLACE;
@@ -419,7 +420,7 @@
 
   /** Guards against a slow origin: past the limit only what cache or parent hold is returned, ageing too. */
   private boolean crowdedOrigin(Get get) {
-    return !get.write && !originLoad.hasRoom(now, unkept(get));
+    return get.unfilled || !get.write && !originLoad.hasRoom(now, unkept(get));
   }
 
   /** The longest mean time to send an answer. */
@@ -785,7 +786,7 @@
     final List<Member> tried = new ArrayList<>(2);
     long due, patience;
     int segment, rank, out;
-    boolean write, sized, streaming, done;
+    boolean write, sized, unfilled, streaming, done;
     Forward ran;
 
     Get(long id, Service service, long object, int group) {
