A member slower than half of its peers gets a smaller slice of the keys

Each end now says how much longer than its sending it took. Covers slow, ageing and hung members alike; may hurt where one holds a hot segment, as its other keys move.

--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -40,6 +40,9 @@
   private static final int LATE = 2;
   private static final double TRICKLE = 1.0 / 16;
 
+  // How much slower than half of its peers a member may be, then its slice shrinks.
+  private static final double SLOWER = 2, PACE = 0.2, PACE_OVER = 8e9;
+
   // Cold ramp: parts of what the guarantee allows; the rest is left for what other gateways do unseen.
   private static final double SLICE = 0.9, BUDGET = 0.5, SURE = 1.5, CARRIED_OVER = 4e9;
 
@@ -123,6 +126,7 @@
     long work = sending > 0 ? sending : starts.getOrDefault(object, NEVER)[2];
     get.sized = work > 0;
     work = work > 0 ? work : service.work();
+    get.work = work;
     get.patience = site.latencyObjective(ds) + (long) (site.stretch(ds) * work);
     gets.put(id, get);
     further = Math.min(FURTHER_SAVED, further + FURTHER_SHARE);
@@ -325,6 +329,9 @@
             stamps[2] == 0 ? took : Math.min(stamps[2], took)});
         boolean hit = note == Note.HIT || note == Note.NOTHING;
         boolean byOrigin = note == Note.FILLED_BY_ORIGIN;
+        if (!byOrigin) {
+          (hit ? forward.cache : forward.source).took(now, forward.get.work, took);
+        }
         if (hit && !told) {
           service.measure(took);
         } else if (!hit) {
@@ -346,6 +353,10 @@
           originLoad.answered(now, false);
         }
       }
+      case NO_ANSWER -> {
+        forward.cache.took(now, forward.get.work, took);
+        forward.source.took(now, forward.get.work, took);
+      }
       case LOST -> forward.cache.strikes++; // Guards against resets of single answers: no outage.
       case NO_CONNECTION -> setAside(forward.cache);
       default -> { }
@@ -481,7 +492,7 @@
   private boolean takes(Member member, double place) {
     double share = member.share(now);
     return share == 0 ? now >= member.trialAt && member.held < 1
-        : place < share && (member.ramp(now) >= 1 || place < SLICE * member.ramp(now));
+        : place < share * member.slice && (member.ramp(now) >= 1 || place < SLICE * member.ramp(now));
   }
 
   /**
@@ -560,7 +571,11 @@
   private void judge(Member[] peers) {
     long up = Arrays.stream(peers).filter(member -> member.up).count();
     long well = Arrays.stream(peers).filter(peer -> peer.up && !peer.waits() && peer.share(now) > 0).count();
+    double[] pace = Arrays.stream(peers).filter(peer -> peer.up).mapToDouble(peer -> peer.pace(now)).sorted()
+        .toArray();
     for (Member member : peers) {
+      double slower = SLOWER / Math.exp(member.pace(now) - (pace.length == 0 ? 0 : pace[(pace.length - 1) / 2]));
+      member.slice = Math.min(1, slower * slower);
       if (member.up && member.waits() && now - member.heardAt > SILENCE && 2 * well >= up) {
         setAside(member);
       }
@@ -591,6 +606,7 @@
       member.spent = Math.max(0, first); // Not all gateways send their first at once.
       member.spentAt = now;
       member.trusted();
+      member.pace = 0;
     }
   }
 
@@ -742,7 +758,8 @@
     int late, strikes;
     long pause = PAUSE;
     long setAsideAt, trialAt, provedAt, spentAt, carriedAt;
-    double spent, carried;
+    double spent, carried, pace, slice = 1;
+    long pacedAt;
 
     Member(int index, long hash) {
       this.index = index;
@@ -766,6 +783,17 @@
       return startedAt == 0 || since >= cold.time ? 1 : cold.share + (1 - cold.share) * since / cold.time;
     }
 
+    /** Notes how much longer than its sending a GET took; a logarithm, so that no single one weighs much. */
+    void took(long now, long work, long took) {
+      pace = pace(now) + (Math.log(Math.max(1, took / (double) work)) - pace(now)) * PACE;
+      pacedAt = now;
+    }
+
+    /** Forgotten with time: one that gets few keys must not be judged by what it was. */
+    double pace(long now) {
+      return pace * Math.exp((pacedAt - now) / PACE_OVER);
+    }
+
     boolean waits() {
       return late + strikes >= LATE;
     }
@@ -784,7 +812,7 @@
     final int group;
     final List<Forward> forwards = new ArrayList<>(2);
     final List<Member> tried = new ArrayList<>(2);
-    long due, patience;
+    long due, work, patience;
     int segment, rank, out;
     boolean write, sized, unfilled, streaming, done;
     Forward ran;
