A limit on all fills into the own zone, refusals count as out for a second, origin's part of stuck fills

Cause: the link into a store is shared by all its fills, but limits were a source each, so a jammed link cut each of them seldom; what helped by accident was that stuck fills counted in full for the origin.

--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -54,7 +54,7 @@
   // Past CROWDED times its part, and CROWD more, a cache passes on before its limit.
   private static final double EACH = 3;
   private static final double CROWDED = 1.75, CROWD = 4;
-  private static final double FIRST_LIMIT = 24, LEAST_LIMIT = 3, LATE_CUT = 0.85, USED_OVER = 2;
+  private static final double FIRST_LIMIT = 24, LEAST_LIMIT = 3, LATE_CUT = 0.85, USED_OVER = 2, REFUSED = 1;
   private static final long CUT_EVERY = 200 * MS;
   private static final double DEAR = 1.5, DEARER = 1.5, UNKEPT = 0.8, PROMPT = 0.75;
 
@@ -83,6 +83,7 @@
   private int tabled;
   private final Map<Long, Long> purges = new HashMap<>();
   private final Load originLoad = new Load();
+  private final Load link = new Load();
   private double further = FURTHER_SAVED;
   private boolean sweeping;
   private boolean told;
@@ -212,11 +213,11 @@
   private Member source(Get get) {
     Member best = first(parents, get, 0, true, false);
     if (best != null) {
-      return get.write || best.hasRoom(now, unkept(get)) ? best : null;
+      return get.write || best.hasRoom(now, unkept(get)) && link.hasRoom(now, unkept(get)) ? best : null;
     }
     best = origin != null && origin.up && !get.tried.contains(origin) ? origin
         : first(parents, get, 0, false, false);
-    return best == origin && crowdedOrigin(get) ? null : best;
+    return best == origin && (crowdedOrigin(get) || !link.hasRoom(now, unkept(get))) ? null : best;
   }
 
   /** By how much a GET may pass the limits on fills. */
@@ -341,6 +342,9 @@
         if (forward.get.sized) {
           Member whose = hit ? forward.cache : forward.source;
           (byOrigin ? originLoad : whose).answered(now, inTime);
+          if (!hit) {
+            link.answered(now, inTime);
+          }
         }
       }
       case TURNED_AWAY, NOT_STORED, ERRORED -> {
@@ -349,8 +353,10 @@
           service.counted(note);
         }
         forward.source.strikes += note == Note.SOURCE_UNREACHED ? 1 : 0;
-        if (note == Note.ORIGIN_ERRORED || note == Note.SOURCE_TURNED_AWAY && forward.source == origin) {
-          originLoad.answered(now, false);
+        if (note == Note.ORIGIN_ERRORED || note == Note.SOURCE_TURNED_AWAY) {
+          (note == Note.ORIGIN_ERRORED || forward.source == origin ? originLoad : forward.source).refused(now);
+        } else if (outcome == Outcome.TURNED_AWAY && note != Note.SOURCE_UNREACHED) {
+          forward.cache.refused(now);
         }
       }
       case NO_ANSWER -> {
@@ -462,7 +468,9 @@
 
   private void count(Forward forward, double likely) {
     forward.source.held += likely;
-    originLoad.held += forward.heldOnly ? 0 : likely < 1 ? likely * forward.get.service.originShare() : 1;
+boolean direct = forward.source == origin;
+    link.held += likely;
+    originLoad.held += forward.heldOnly ? 0 : likely * (direct ? 1 : forward.get.service.originShare());
   }
 
   // ---- Standing, ramp and budget.
@@ -538,8 +546,10 @@
       member.settle(now);
       member.held = member.mid || member.origin ? 0 : member.held;
     }
-    originLoad.settle(now);
-    originLoad.held = 0;
+    for (Load load : new Load[] {originLoad, link}) {
+      load.settle(now);
+      load.held = 0;
+    }
     for (Forward forward : open) {
       Get get = forward.get;
       long waited = now - forward.sentAt;
@@ -617,6 +627,7 @@
     double all = members(member -> !member.mid && !member.origin && member.up).length;
     double ofAll = all / EACH / Math.max(1, site.gateways());
     originLoad.part(ofAll);
+    link.part(caches.length / EACH / Math.max(1, site.gatewaysHere()));
     members.values().forEach(member ->
         member.part(member.mid || member.origin ? ofAll : 1.0 / Math.max(1, site.gatewaysHere())));
   }
@@ -718,6 +729,12 @@
       return held < room * dear && (held + 1 <= room * dear || owed <= room * Math.max(0, dear - UNKEPT));
     }
 
+    /** Counted as long out: a quick refusal would leave the limit free to ask again at once. */
+    void refused(long now) {
+      answered(now, false);
+      owed += REFUSED;
+    }
+
     /** A late answer cuts from what is used, so that a limit that never bound binds at once. */
     void answered(long now, boolean inTime) {
       settle(now);
