--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -342,7 +342,7 @@
         if (forward.get.sized) {
           Member whose = hit ? forward.cache : forward.source;
           (byOrigin ? originLoad : whose).answered(now, inTime);
-          if (!hit) {
+          if (!hit && !byOrigin) {
             link.answered(now, inTime);
           }
         }
