--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -233,6 +233,7 @@
     Member best = null;
     double highest = -1;
     double crowd = room ? crowd(among) : 0;
+    double alone = 1 - 1.0 / Math.max(1, site.gatewaysHere()); // Where many share, two out are chance.
     double dear = dear(get.service);
     for (Member member : among) {
       if (!member.up || get.tried.contains(member) || !permits(get, member)) {
@@ -241,7 +242,7 @@
       long key = mix(get.object * 31 + segment ^ member.hash);
       double score = member.weight / -Math.log(unit(key));
       if (score > highest && (!standing || takes(member, unit(mix(key + 1))))
-          && (!room || member.held <= crowd * member.weight && member.hasRoom(now, dear))
+          && (!room || member.held <= crowd * member.weight + alone && member.hasRoom(now, dear))
           && affords(member, get.service)) {
         best = member;
         highest = score;
