--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -6,7 +6,6 @@
 import amberpath.Site.Group;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.HashMap;
 import java.util.TreeMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -24,8 +23,8 @@
  * 2. cold ramp: one that has just started gets a thin slice of the keys that widens, and a budget;
  * 3. further forwards: after an end that permits one, or when stuck at one set aside, a share of the GETs;
  * 4. detour of source: the next parent by hash, then the origin;
- * 5. limits: no more GETs at a cache, fills, and fills by way of the origin than come back in time; past them
- *    the next cache by hash, then what is held, ageing too, then a shed, the least revenue for work first;
+ * 5. limits: this gateway's part of what comes back in time: GETs at a cache, fills through a source, into
+ *    the zone and by way of the origin; past them the next cache by hash, what is held, ageing too, a shed;
  * 6. late rank: a first start is kept at the lowest rank until it is asked for again.
  */
 public final class Control implements Arrivals.Events {
@@ -37,26 +36,19 @@
   // Standing: how many late GETs and what silence set a member aside, and how it comes back.
   private static final long SWEEP = 20 * MS, SILENCE = 600 * MS, STEP = 500 * MS;
   private static final long PAUSE = 250 * MS, LONGEST_PAUSE = 4000 * MS;
-  private static final int LATE = 2;
-  private static final double TRICKLE = 1.0 / 16;
-
-  // How much slower than half of its peers a member may be, then its slice shrinks.
-  private static final double SLOWER = 2, PACE = 0.2, PACE_OVER = 8e9;
+  private static final double TRICKLE = 1.0 / 16, LATE = 2;
 
   // Cold ramp: parts of what the guarantee allows; the rest is left for what other gateways do unseen.
   private static final double SLICE = 0.9, BUDGET = 0.5, SURE = 1.5, CARRIED_OVER = 4e9;
 
   // Further forwards: share of GETs, how many may be saved up, and the least time left for one.
-  private static final double FURTHER_SHARE = 0.2, FURTHER_SAVED = 40;
-  private static final long LEAST_LEFT = 20 * MS;
+  private static final double FURTHER_SHARE = 0.2, FURTHER_SAVED = 40, LEAST_LEFT = 20 * MS;
 
   // Limits, for a gateway that has EACH caches to itself; others take their part of them.
   // Past CROWDED times its part, and CROWD more, a cache passes on before its limit.
-  private static final double EACH = 3;
-  private static final double CROWDED = 1.75, CROWD = 4;
+  private static final double EACH = 3, CROWDED = 1.75, CROWD = 4;
   private static final double FIRST_LIMIT = 24, LEAST_LIMIT = 3, LATE_CUT = 0.85, USED_OVER = 2, REFUSED = 1;
-  private static final long CUT_EVERY = 200 * MS;
-  private static final double DEAR = 1.5, DEARER = 1.5, UNKEPT = 0.8, PROMPT = 0.75;
+  private static final double DEAR = 1.5, DEARER = 1.5, UNKEPT = 0.8, PROMPT = 0.75, CUT_EVERY = 200 * MS;
 
   // Measurements: histograms with two bins to a doubling, halved when full.
   private static final int BINS = 24, FULL = 512;
@@ -65,29 +57,24 @@
 
   private final Site site;
   private final Service[] services;
-  private final Cold coldCache;
-  private final Cold coldParent;
+  private final Cold coldCache, coldParent;
   private final SplittableRandom random;
 
   private final Map<Integer, Member> members = new TreeMap<>();
-  private Member[] caches = {};
-  private Member[] parents = {};
+  private Member[] caches = {}, parents = {};
   private Member origin;
 
-  private final Map<Long, Get> gets = new HashMap<>();
+  private final Map<Long, Get> gets = new TreeMap<>();
   private final LinkedHashSet<Forward> open = new LinkedHashSet<>();
   /** By object: its last start, the one before, and its shortest answer, standing in for an untold size. */
   private final Map<Long, long[]> starts = new LinkedHashMap<>();
   private final long[] tableObject = new long[TABLE];
   private final int[] tableSegment = new int[TABLE];
   private int tabled;
-  private final Map<Long, Long> purges = new HashMap<>();
-  private final Load originLoad = new Load();
-  private final Load link = new Load();
+  private final Map<Long, Long> purges = new TreeMap<>();
+  private final Load originLoad = new Load(), link = new Load();
   private double further = FURTHER_SAVED;
-  private boolean sweeping;
-  private boolean told;
-  private boolean watching;
+  private boolean sweeping, watching;
 
   private long now;
   private Decisions out;
@@ -118,27 +105,24 @@
   @Override public void get(long id, int ds, long object, int group, int part, long timeLeft, double kb,
       boolean write) {
     Service service = services[ds];
-    int segment = Integer.SIZE - Integer.numberOfLeadingZeros(part);
     long sending = kb > 0 && site.flowKbPerSecond() > 0 ? (long) (kb / site.flowKbPerSecond() * 1e9) : 0;
     Get get = new Get(id, service, object, group);
-    get.segment = segment;
+    get.segment = Integer.SIZE - Integer.numberOfLeadingZeros(part);
     get.due = now + timeLeft;
     get.write = write || site.neverKept(ds);
     long work = sending > 0 ? sending : starts.getOrDefault(object, NEVER)[2];
     get.sized = work > 0;
-    work = work > 0 ? work : service.work();
-    get.work = work;
-    get.patience = site.latencyObjective(ds) + (long) (site.stretch(ds) * work);
+    get.patience = site.latencyObjective(ds) + (long) (site.stretch(ds) * (work > 0 ? work : service.work()));
     gets.put(id, get);
     further = Math.min(FURTHER_SAVED, further + FURTHER_SHARE);
-    told |= sending > 0;
-    if (sending > 0) {
+    get.told = sending > 0;
+    if (get.told) {
       service.measure(sending);
     }
 
     long previous = part == 0 ? started(object) : starts.getOrDefault(object, NEVER)[1];
-    if (!get.write && (segment < KMIN || admitted(object, segment, previous))) {
-      get.rank = segment < KMIN && previous == 0 ? FIRST_RANK : RANK;
+    if (!get.write && (get.segment < KMIN || admitted(object, get.segment, previous))) {
+      get.rank = get.segment < KMIN && previous == 0 ? FIRST_RANK : RANK;
     }
     if (!place(get)) {
       giveUp(get);
@@ -161,12 +145,10 @@
     int lowest = -1;
     double least = Double.MAX_VALUE;
     for (int i = 0; i < tabled; i++) {
-      if (tableObject[i] == object) {
-        if (tableSegment[i] == segment) {
-          return true;
-        }
-        contiguous |= tableSegment[i] == segment - 1;
+      if (tableObject[i] == object && tableSegment[i] == segment) {
+        return true;
       }
+      contiguous |= tableObject[i] == object && tableSegment[i] == segment - 1;
       double value = cachingValue(starts.getOrDefault(tableObject[i], NEVER)[1], tableSegment[i]);
       if (value < least) {
         least = value;
@@ -205,19 +187,17 @@
     return best != null && best.hasRoom(now, dear(get.service)) ? best : null;
   }
 
-  /**
-   * The source of a fill: by hash of the object over all listed parents; the origin when none stands. None if
-   * that one is past its limit: the GET is then returned only from what its cache holds, so that hits do not
-   * wait behind misses. Guards against jammed links, parents and scans of any cause.
-   */
+  /** The source: by hash of the object over all listed parents; the origin when none stands. None past its
+   * limit: only what the cache holds is returned then. Guards against jammed links, parents and scans. */
   private Member source(Get get) {
     Member best = first(parents, get, 0, true, false);
+    boolean room = get.write || link.hasRoom(now, unkept(get));
     if (best != null) {
-      return get.write || best.hasRoom(now, unkept(get)) && link.hasRoom(now, unkept(get)) ? best : null;
+      return get.write || room && best.hasRoom(now, unkept(get)) ? best : null;
     }
     best = origin != null && origin.up && !get.tried.contains(origin) ? origin
         : first(parents, get, 0, false, false);
-    return best == origin && (crowdedOrigin(get) || !link.hasRoom(now, unkept(get))) ? null : best;
+    return best == origin && (crowdedOrigin(get) || !room) ? null : best;
   }
 
   /** By how much a GET may pass the limits on fills. */
@@ -225,15 +205,12 @@
     return dear(get.service) * (get.rank == 0 ? UNKEPT : 1);
   }
 
-  /**
-   * The first by highest random weight, so that all gateways agree, also on the next, in whatever order they
-   * learned of the members. Not standing: those set aside will do. Cold budgets bind always.
-   */
+  /** The first by highest random weight, so that all gateways agree, also on the next. Not standing: those
+   * set aside will do. Cold budgets bind always. */
   private Member first(Member[] among, Get get, int segment, boolean standing, boolean room) {
     Member best = null;
     double highest = -1;
     double crowd = room ? crowd(among) : 0;
-    double alone = 1 - 1.0 / Math.max(1, site.gatewaysHere()); // Where many share, two out are chance.
     double dear = dear(get.service);
     for (Member member : among) {
       if (!member.up || get.tried.contains(member) || !permits(get, member)) {
@@ -242,7 +219,8 @@
       long key = mix(get.object * 31 + segment ^ member.hash);
       double score = member.weight / -Math.log(unit(key));
       if (score > highest && (!standing || takes(member, unit(mix(key + 1))))
-          && (!room || member.held <= crowd * member.weight + alone && member.hasRoom(now, dear))
+          && (!room || member.hasRoom(now, dear)
+          && member.held <= crowd * member.weight + 1 - 1.0 / member.cold.sharers)
           && affords(member, get.service)) {
         best = member;
         highest = score;
@@ -331,10 +309,7 @@
             stamps[2] == 0 ? took : Math.min(stamps[2], took)});
         boolean hit = note == Note.HIT || note == Note.NOTHING;
         boolean byOrigin = note == Note.FILLED_BY_ORIGIN;
-        if (!byOrigin) {
-          (hit ? forward.cache : forward.source).took(now, forward.get.work, took);
-        }
-        if (hit && !told) {
+        if (hit && !forward.get.told) {
           service.measure(took);
         } else if (!hit) {
           forward.source.carried(now, service.work() / 1e9);
@@ -355,15 +330,12 @@
         }
         forward.source.strikes += note == Note.SOURCE_UNREACHED ? 1 : 0;
         if (note == Note.ORIGIN_ERRORED || note == Note.SOURCE_TURNED_AWAY) {
-          (note == Note.ORIGIN_ERRORED || forward.source == origin ? originLoad : forward.source).refused(now);
+          boolean origins = note == Note.ORIGIN_ERRORED || forward.source == origin;
+          (origins ? originLoad : forward.source).refused(now);
         } else if (outcome == Outcome.TURNED_AWAY && note != Note.SOURCE_UNREACHED) {
           forward.cache.refused(now);
         }
       }
-      case NO_ANSWER -> {
-        forward.cache.took(now, forward.get.work, took);
-        forward.source.took(now, forward.get.work, took);
-      }
       case LOST -> forward.cache.strikes++; // Guards against resets of single answers: no outage.
       case NO_CONNECTION -> setAside(forward.cache);
       default -> { }
@@ -374,10 +346,9 @@
   private void tryFurther(Get get, Forward last, Outcome outcome, Note note) {
     get.unfilled |= note == Note.ORIGIN_ERRORED; // Another parent would only ask the same origin again.
     boolean heldOnly = last.heldOnly && outcome == Outcome.NOT_STORED;
-    if (heldOnly || get.unfilled) {
-      further++;
-    } else {
-      boolean source = note.compareTo(Note.SOURCE_TURNED_AWAY) >= 0 && note != Note.NO_PLACE;
+    boolean source = note.compareTo(Note.SOURCE_TURNED_AWAY) >= 0 && note != Note.NO_PLACE;
+    further += heldOnly || get.unfilled ? 1 : 0;
+    if (!heldOnly && !get.unfilled) {
       get.tried.add(source ? last.source : last.cache);
     }
     if (heldOnly && (source(get) == null || crowdedOrigin(get))
@@ -425,13 +396,11 @@
   /** Guards against an effect twice: what may have run is repeated only where its repeats are dropped. */
   private boolean permits(Get get, Member member) {
     int ds = get.service.ds;
-    if (get.ran == null || site.effect(ds) == Effect.IDEMPOTENT) {
-      return true;
-    }
-    Member ran = get.ran.cache;
-    return site.effect(ds) == Effect.TOKENED && now - get.ran.sentAt < site.window(ds)
-        && (site.group(ds) == Group.ALL || member.zone.equals(ran.zone)
-        && (site.group(ds) == Group.ZONE || member.cell == ran.cell));
+    Forward ran = get.ran;
+    return ran == null || site.effect(ds) == Effect.IDEMPOTENT
+        || site.effect(ds) == Effect.TOKENED && now - ran.sentAt < site.window(ds)
+        && (site.group(ds) == Group.ALL || member.zone.equals(ran.cache.zone)
+        && (site.group(ds) == Group.ZONE || member.cell == ran.cache.cell));
   }
 
   // ---- Limits.
@@ -441,37 +410,25 @@
     return get.unfilled || !get.write && !originLoad.hasRoom(now, unkept(get));
   }
 
-  /** The longest mean time to send an answer. */
-  private double dearest() {
-    return Arrays.stream(services).mapToDouble(Service::work).max().orElse(0);
-  }
-
   /** By how much a delivery service may pass a limit: those with the most revenue for the work come last. */
   private double dear(Service service) {
-    for (Service other : services) {
-      if (site.revenue(other.ds) / other.work() > DEARER * site.revenue(service.ds) / service.work()) {
-        return 1;
-      }
-    }
-    return DEAR;
+    double rate = DEARER * site.revenue(service.ds) / service.work();
+    return Arrays.stream(services).anyMatch(other -> site.revenue(other.ds) / other.work() > rate) ? 1 : DEAR;
   }
 
-  /** How many forwards out, a unit of weight, are too many: guards against hot segments and slow caches. */
+  /** How many forwards out, a unit of weight, are too many: guards against hot segments and slow caches. One
+   * more may be out where many gateways share them: two at a thin gateway are chance. */
   private double crowd(Member[] among) {
-    double held = 0;
-    double weights = 1e-3;
-    for (Member member : among) {
-      held += member.up ? member.held : 0;
-      weights += member.up ? member.weight : 0;
-    }
-    return (CROWDED * held + CROWD) / weights;
+    double held = Arrays.stream(among).mapToDouble(member -> member.up ? member.held : 0).sum();
+    double weights = Arrays.stream(among).mapToDouble(member -> member.up ? member.weight : 0).sum();
+    return (CROWDED * held + CROWD) / Math.max(weights, 1e-3);
   }
 
   private void count(Forward forward, double likely) {
     forward.source.held += likely;
-boolean direct = forward.source == origin;
     link.held += likely;
-    originLoad.held += forward.heldOnly ? 0 : likely * (direct ? 1 : forward.get.service.originShare());
+    double share = forward.source == origin ? 1 : forward.get.service.originShare();
+    originLoad.held += forward.heldOnly ? 0 : likely * share;
   }
 
   // ---- Standing, ramp and budget.
@@ -480,7 +437,8 @@
     member.heardAt = now;
     member.strikes = 0;
     if (member.share(now) == 1) {
-      member.trusted();
+      member.setAsideAt = 0;
+      member.pause = PAUSE;
     } else if (member.provedAt == 0 && sentAt >= member.setAsideAt) {
       member.provedAt = now;
     }
@@ -501,13 +459,11 @@
   private boolean takes(Member member, double place) {
     double share = member.share(now);
     return share == 0 ? now >= member.trialAt && member.held < 1
-        : place < share * member.slice && (member.ramp(now) >= 1 || place < SLICE * member.ramp(now));
+        : place < share && (member.ramp(now) >= 1 || place < SLICE * member.ramp(now));
   }
 
-  /**
-   * Whether this gateway's part of what a cold member can bear has room for one more. Where the part is under
-   * one GET, one is let through when nothing is owed, and is owed for after: the sum over all gateways is kept.
-   */
+  /** Whether this gateway's part of what a cold member can bear has room for one more. A part under one GET
+   * lets one through when nothing is owed, which is owed for after: the sum over all gateways is kept. */
   private boolean affords(Member member, Service service) {
     double spare = rate(member, now) * site.fallTime() / 1e9 - service.work() / 1e9;
     return member.ramp(now) >= 1 || spent(member) <= Math.max(0, spare);
@@ -525,13 +481,6 @@
     return Math.max(0, member.spent - paid);
   }
 
-  /** Keeps the last figure while no peer is warm, so that a zone that all restarted does not starve. */
-  private void usual(Cold cold, Member[] peers) {
-    double mean = Arrays.stream(peers).filter(peer -> peer.up && peer.share(now) > 0 && peer.ramp(now) >= 1)
-        .mapToDouble(peer -> peer.carried(now, 0)).average().orElse(cold.usual);
-    cold.usual = Math.max(1.0 / cold.sharers, mean);
-  }
-
   private void charge(Member member, double work) {
     member.spent = member.ramp(now) < 1 ? spent(member) + work : 0;
     member.spentAt = now;
@@ -563,34 +512,33 @@
         forward.source.late += forward.source != forward.cache && cacheWell ? 1 : 0;
       }
     }
-    judge(caches);
-    judge(parents);
-    usual(coldCache, caches);
-    usual(coldParent, parents);
+    judge(caches, coldCache);
+    judge(parents, coldParent);
     for (Forward forward : new ArrayList<>(open)) {
       Get get = forward.get;
-      boolean stuck = forward.cache.share(now) == 0 || forward.source.share(now) == 0 && forward.cache.late > 0;
+      boolean cacheOut = forward.cache.share(now) == 0;
+      boolean stuck = cacheOut || forward.source.share(now) == 0 && forward.cache.late > 0;
       if (stuck && !get.done && get.out == 1 && now - forward.sentAt > get.patience && site.secondCopies()
           && site.effect(get.service.ds) == Effect.IDEMPOTENT) {
-        get.tried.add(forward.cache.share(now) == 0 ? forward.cache : forward.source);
+        get.tried.add(cacheOut ? forward.cache : forward.source);
         again(get);
       }
     }
   }
 
-  /** Sets aside who keeps GETs waiting and gives no sign of life, unless most of its peers do too. */
-  private void judge(Member[] peers) {
+  /** Sets aside who keeps GETs waiting and gives no sign of life, unless most of its peers do too. What warm
+   * peers return is kept while none is, so that a zone that all restarted does not starve. */
+  private void judge(Member[] peers, Cold cold) {
     long up = Arrays.stream(peers).filter(member -> member.up).count();
     long well = Arrays.stream(peers).filter(peer -> peer.up && !peer.waits() && peer.share(now) > 0).count();
-    double[] pace = Arrays.stream(peers).filter(peer -> peer.up).mapToDouble(peer -> peer.pace(now)).sorted()
-        .toArray();
     for (Member member : peers) {
-      double slower = SLOWER / Math.exp(member.pace(now) - (pace.length == 0 ? 0 : pace[(pace.length - 1) / 2]));
-      member.slice = Math.min(1, slower * slower);
       if (member.up && member.waits() && now - member.heardAt > SILENCE && 2 * well >= up) {
         setAside(member);
       }
     }
+    double mean = Arrays.stream(peers).filter(peer -> peer.up && peer.share(now) > 0 && peer.ramp(now) >= 1)
+        .mapToDouble(peer -> peer.carried(now, 0)).average().orElse(cold.usual);
+    cold.usual = Math.max(1.0 / cold.sharers, mean);
   }
 
   // ---- The list of caches.
@@ -602,7 +550,7 @@
 
   @Override public void member(int cache, String address, String zone, String kind, int cell,
       Arrivals.State state, double weight, long startedAt) {
-    Member member = members.computeIfAbsent(cache, index -> new Member(index, mix(address.hashCode())));
+    Member member = members.computeIfAbsent(cache, index -> new Member(index, address));
     member.zone = zone;
     member.cell = cell;
     member.up = state == Arrivals.State.UP;
@@ -613,24 +561,24 @@
     if (startedAt > member.startedAt) {
       member.startedAt = startedAt;
       member.most = 0;
-      double first = random.nextDouble() * dearest() / 1e9 - rate(member, now) * site.fallTime() / 1e9;
-      member.spent = Math.max(0, first); // Not all gateways send their first at once.
+      double dearest = Arrays.stream(services).mapToDouble(Service::work).max().orElse(0);
+      double first = random.nextDouble() * dearest - rate(member, now) * site.fallTime();
+      member.spent = Math.max(0, first / 1e9); // Not all gateways send their first at once.
       member.spentAt = now;
-      member.trusted();
-      member.pace = 0;
+      member.setAsideAt = 0;
     }
   }
 
   @Override public void listed() {
     caches = members(member -> !member.mid && !member.origin && member.zone.equals(site.zone()));
     parents = members(member -> member.mid);
-    origin = Arrays.stream(members(member -> member.origin)).findFirst().orElse(null);
+    origin = members.values().stream().filter(member -> member.origin).findFirst().orElse(null);
     double all = members(member -> !member.mid && !member.origin && member.up).length;
-    double ofAll = all / EACH / Math.max(1, site.gateways());
+    double ofAll = all / EACH / coldParent.sharers;
     originLoad.part(ofAll);
-    link.part(caches.length / EACH / Math.max(1, site.gatewaysHere()));
-    members.values().forEach(member ->
-        member.part(member.mid || member.origin ? ofAll : 1.0 / Math.max(1, site.gatewaysHere())));
+    link.part(caches.length / EACH / coldCache.sharers);
+    double ofOne = 1.0 / coldCache.sharers;
+    members.values().forEach(member -> member.part(member.cold == coldParent ? ofAll : ofOne));
   }
 
   private Member[] members(Predicate<Member> which) {
@@ -655,7 +603,7 @@
   private final class Service {
     final int ds;
     final int[] took = new int[BINS];
-    int measured, hits, misses, byOrigin;
+    final int[] ways = new int[3]; // Returned from a cache, from a parent, from the origin.
 
     Service(int ds) {
       this.ds = ds;
@@ -663,15 +611,15 @@
 
     void measure(long time) {
       took[(int) Math.max(0, Math.min(BINS - 1, 2 * Math.log(time / (4.0 * MS)) / Math.log(2)))]++;
-      if (++measured >= FULL) {
+      if (Arrays.stream(took).sum() >= FULL) {
         Arrays.setAll(took, bin -> took[bin] / 2);
-        measured = Arrays.stream(took).sum();
       }
     }
 
     /** Mean time to send an answer. */
     long work() {
       double sum = 0;
+      int measured = Arrays.stream(took).sum();
       for (int bin = 0; bin < BINS; bin++) {
         sum += took[bin] * 4.0 * MS * Math.pow(2, (bin + 0.5) / 2);
       }
@@ -679,30 +627,23 @@
     }
 
     void counted(Note note) {
-      boolean hit = note == Note.HIT || note == Note.PAST_FRESH;
-      hits += hit ? 1 : 0;
-      misses += hit ? 0 : 1;
-      byOrigin += note == Note.FILLED_BY_ORIGIN ? 1 : 0;
-      if (hits + misses >= FULL) {
-        hits /= 2;
-        misses /= 2;
-        byOrigin /= 2;
+      ways[note == Note.HIT || note == Note.PAST_FRESH ? 0 : note == Note.FILLED_BY_ORIGIN ? 2 : 1]++;
+      if (Arrays.stream(ways).sum() >= FULL) {
+        Arrays.setAll(ways, way -> ways[way] / 2);
       }
     }
 
     double missShare() {
-      return (misses + 4.0) / (hits + misses + 8.0);
+      return (ways[1] + ways[2] + 4.0) / (Arrays.stream(ways).sum() + 8.0);
     }
 
     double originShare() {
-      return (byOrigin + 1.0) / (misses + 2.0);
+      return (ways[2] + 1.0) / (ways[1] + ways[2] + 2.0);
     }
   }
 
-  /**
-   * How much is out and may be out at once. Guards against overload: late answers cut it, others widen it. A
-   * share of under one GET is kept over time: what was out beyond it is owed before the next may go.
-   */
+  /** How much is out and may be out at once. Guards against overload: late answers cut it, others widen it. A
+   * limit under one GET is kept over time: what was out beyond it is owed before the next may go. */
   private static class Load {
     double part, most, held, used, owed;
     long settledAt, cutAt;
@@ -768,29 +709,19 @@
     final int index;
     final long hash;
     String zone;
-    int cell;
+    int cell, late, strikes;
     boolean up, mid, origin;
     double weight;
     Cold cold;
-    long startedAt, heardAt;
-    int late, strikes;
-    long pause = PAUSE;
-    long setAsideAt, trialAt, provedAt, spentAt, carriedAt;
-    double spent, carried, pace, slice = 1;
-    long pacedAt;
-
-    Member(int index, long hash) {
-      this.index = index;
-      this.hash = hash;
-    }
+    long startedAt, heardAt, setAsideAt, trialAt, provedAt, spentAt, carriedAt, pause = PAUSE;
+    double spent, carried;
 
-    void trusted() {
-      setAsideAt = 0;
-      pause = PAUSE;
+    Member(int index, String address) {
+      this.index = index;
+      hash = mix(address.hashCode());
     }
 
-    /** The part of the keys it gets: none while set aside, then a trickle that doubles with time, not with
-     * answers: at a few GETs a second a thin slice would bring none for long. */
+    /** Its part of the keys. A trickle doubles with time: a thin slice would bring no answers for long. */
     double share(long now) {
       return setAsideAt == 0 ? 1 : provedAt == 0 ? 0 : Math.min(1, TRICKLE * (1L << (now - provedAt) / STEP));
     }
@@ -801,17 +732,6 @@
       return startedAt == 0 || since >= cold.time ? 1 : cold.share + (1 - cold.share) * since / cold.time;
     }
 
-    /** Notes how much longer than its sending a GET took; a logarithm, so that no single one weighs much. */
-    void took(long now, long work, long took) {
-      pace = pace(now) + (Math.log(Math.max(1, took / (double) work)) - pace(now)) * PACE;
-      pacedAt = now;
-    }
-
-    /** Forgotten with time: one that gets few keys must not be judged by what it was. */
-    double pace(long now) {
-      return pace * Math.exp((pacedAt - now) / PACE_OVER);
-    }
-
     boolean waits() {
       return late + strikes >= LATE;
     }
@@ -830,9 +750,9 @@
     final int group;
     final List<Forward> forwards = new ArrayList<>(2);
     final List<Member> tried = new ArrayList<>(2);
-    long due, work, patience;
+    long due, patience;
     int segment, rank, out;
-    boolean write, sized, unfilled, streaming, done;
+    boolean write, told, sized, unfilled, streaming, done;
     Forward ran;
 
     Get(long id, Service service, long object, int group) {
