--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -733,7 +733,7 @@
     }
 
     boolean waits() {
-      return late + strikes >= (cold.sharers > 1 ? 1 : LATE);
+      return late + strikes >= LATE;
     }
 
     /** Work returned a second, over the last few: what is only sent tells nothing of what can be carried. */
