--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -193,14 +193,16 @@
   /** The source: by hash of the object over all listed parents; the origin when none stands. None past its
    * limit: only what the cache holds is returned then. Guards against jammed links, parents and scans. */
   private Member source(Get get) {
-    Member best = first(parents, get, 0, true, false);
-    boolean room = get.write || link.hasRoom(now, unkept(get));
-    if (best != null) {
-      return get.write || room && best.hasRoom(now, unkept(get)) ? best : null;
+    if (!get.write && !link.hasRoom(now, unkept(get))) {
+      return null;
+    }
+    Member best = first(parents, get, 0, true, !get.write);
+    if (best != null || first(parents, get, 0, true, false) != null) {
+      return best;
     }
     best = origin != null && origin.up && !get.tried.contains(origin) ? origin
         : first(parents, get, 0, false, false);
-    return best == origin && (crowdedOrigin(get) || !room) ? null : best;
+    return best == origin && crowdedOrigin(get) ? null : best;
   }
 
   private double unkept(Get get) {
