--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -429,7 +429,6 @@
 
   private void count(Forward forward, double likely) {
     forward.source.held += likely;
-    link.held += likely;
     double share = forward.source == origin ? 1 : forward.get.service.originShare();
     originLoad.held += forward.heldOnly ? 0 : likely * share;
   }
@@ -515,6 +514,8 @@
         forward.source.late += forward.source != forward.cache && cacheWell ? 1 : 0;
       }
     }
+    // A source past its limit is stuck itself: what waits there does not use the link.
+    members.values().forEach(one -> link.held += one.cold == coldCache ? 0 : Math.min(one.held, one.most));
     judge(caches, coldCache);
     judge(parents, coldParent);
     for (Forward forward : new ArrayList<>(open)) {
