--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -122,8 +122,8 @@
 
     // Where gateways share the zone, a part that does not follow the last one seen is of another viewing.
     long[] seen = starts.getOrDefault(object, NEVER);
-    boolean elsewhere = coldCache.sharers > 1 && (seen == NEVER || part <= seen[3]);
-    long previous = part == 0 || elsewhere ? started(object) : seen[1];
+    boolean other = coldCache.sharers > 1 && (seen == NEVER || part <= seen[3]);
+    long previous = part == 0 || other ? started(object) : seen[1];
     starts.getOrDefault(object, new long[4])[3] = part;
     if (!get.write && (get.segment < KMIN || admitted(object, get.segment, previous))) {
       get.rank = get.segment < KMIN && previous == 0 ? FIRST_RANK : RANK;
@@ -145,7 +145,8 @@
 
   /** Whether a later segment is kept: contiguous and, the table full, worth more than the least in it. */
   private boolean admitted(long object, int segment, long previous) {
-    boolean contiguous = segment - 1 < KMIN || coldCache.sharers > 1 && admitted(object, segment - 1, previous);
+    boolean shared = coldCache.sharers > 1;
+    boolean contiguous = segment - 1 < KMIN || shared && admitted(object, segment - 1, previous);
     int lowest = -1;
     double least = Double.MAX_VALUE;
     for (int i = 0; i < tabled; i++) {
@@ -190,8 +191,7 @@
     return best != null && best.hasRoom(now, dear(get.service)) ? best : null;
   }
 
-  /** The source: by hash of the object over all listed parents; the origin when none stands. None past its
-   * limit: only what the cache holds is returned then. Guards against jammed links, parents and scans. */
+  /** By hash of the object over all parents; the origin when none stands. None past a limit: guards hits. */
   private Member source(Get get) {
     if (!get.write && !link.hasRoom(now, unkept(get))) {
       return null;
@@ -209,8 +209,7 @@
     return dear(get.service) * (get.rank == 0 ? UNKEPT : 1);
   }
 
-  /** The first by highest random weight, so that all gateways agree, also on the next. Not standing: those
-   * set aside will do. Cold budgets bind always. */
+  /** The first by highest random weight, so that all gateways agree, also on the next. Cold budgets bind. */
   private Member first(Member[] among, Get get, int segment, boolean standing, boolean room) {
     Member best = null;
     double highest = -1;
@@ -223,7 +222,7 @@
       long key = mix(get.object * 31 + segment ^ member.hash);
       double score = member.weight / -Math.log(unit(key));
       if (score > highest && (!standing || takes(member, unit(mix(key + 1))))
-          && (!room || member.hasRoom(now, dear)
+          && (!room || member.hasRoom(now, dear) // Where many gateways share, two out are chance.
           && member.held <= crowd * member.weight + 1 - 1.0 / member.cold.sharers)
           && affords(member, get.service)) {
         best = member;
@@ -332,14 +331,17 @@
         if (note.compareTo(Note.SOURCE_TURNED_AWAY) >= 0 && note != Note.NO_PLACE) {
           service.counted(note);
         }
-        forward.source.strikes += note == Note.SOURCE_UNREACHED ? 1 : 0;
-        if (note == Note.ORIGIN_ERRORED || note == Note.SOURCE_TURNED_AWAY) {
+        if (note == Note.SOURCE_UNREACHED) {
+          forward.source.strikes++;
+          forward.source.answered(now, false);
+        } else if (note == Note.ORIGIN_ERRORED || note == Note.SOURCE_TURNED_AWAY) {
           boolean origins = note == Note.ORIGIN_ERRORED || forward.source == origin;
           (origins ? originLoad : forward.source).refused(now);
-        } else if (outcome == Outcome.TURNED_AWAY && note != Note.SOURCE_UNREACHED) {
+        } else if (outcome == Outcome.TURNED_AWAY) {
           forward.cache.refused(now);
         }
       }
+      case NO_ANSWER -> forward.source.answered(now, forward.source == forward.cache);
       case LOST -> forward.cache.strikes++; // Guards against resets of single answers: no outage.
       case NO_CONNECTION -> setAside(forward.cache);
       default -> { }
@@ -419,8 +421,7 @@
     return Arrays.stream(services).anyMatch(other -> site.revenue(other.ds) / other.work() > rate) ? 1 : DEAR;
   }
 
-  /** How many forwards out, a unit of weight, are too many: guards against hot segments and slow caches. One
-   * more may be out where many gateways share them: two at a thin gateway are chance. */
+  /** How many forwards out, a unit of weight, are too many: guards against hot segments and slow caches. */
   private double crowd(Member[] among) {
     double held = Arrays.stream(among).mapToDouble(member -> member.up ? member.held : 0).sum();
     double weights = Arrays.stream(among).mapToDouble(member -> member.up ? member.weight : 0).sum();
@@ -530,8 +531,7 @@
     }
   }
 
-  /** Sets aside who keeps GETs waiting and gives no sign of life, unless most of its peers do too. What warm
-   * peers return is kept while none is, so that a zone that all restarted does not starve. */
+  /** Sets aside who keeps GETs waiting and gives no sign of life, unless most of its peers do too. */
   private void judge(Member[] peers, Cold cold) {
     long up = Arrays.stream(peers).filter(member -> member.up).count();
     long well = Arrays.stream(peers).filter(peer -> peer.up && !peer.waits() && peer.share(now) > 0).count();
@@ -541,7 +541,7 @@
       }
     }
     double mean = Arrays.stream(peers).filter(peer -> peer.up && peer.share(now) > 0 && peer.ramp(now) >= 1)
-        .mapToDouble(peer -> peer.carried(now, 0)).average().orElse(cold.usual);
+        .mapToDouble(peer -> peer.carried(now, 0)).average().orElse(cold.usual); // Also while none is warm.
     cold.usual = Math.max(1.0 / cold.sharers, mean);
   }
 
@@ -589,8 +589,7 @@
     return members.values().stream().filter(which).toArray(Member[]::new);
   }
 
-  // ---- Hashes on stable ids, so that all gateways agree.
-
+  /** Hashes are on stable ids, so that all gateways agree. */
   private static long mix(long value) {
     value = (value ^ (value >>> 30)) * 0xbf58476d1ce4e5b9L;
     value = (value ^ (value >>> 27)) * 0x94d049bb133111ebL;
@@ -601,8 +600,6 @@
     return ((key >>> 11) + 0.5) * 0x1.0p-53;
   }
 
-  // ---- What is kept of a service, a member, a GET and a forward.
-
   private final class Service {
     final int ds;
     final int[] took = new int[BINS];
@@ -619,7 +616,6 @@
       }
     }
 
-    /** Mean time to send an answer. */
     long work() {
       double sum = 0;
       int measured = Arrays.stream(took).sum();
@@ -692,7 +688,6 @@
     }
   }
 
-  /** What is guaranteed of members that have just started. */
   private static final class Cold {
     final double share, fallMultiple;
     final long time;
--- a/src/test/java/amberpath/ControlTest.java
+++ b/src/test/java/amberpath/ControlTest.java
@@ -357,7 +357,9 @@
   void parentsBehindWhichTheOriginFailsStayTheSources() {
     for (int i = 0; i < 40; i++) {
       Sent sent = host.get(++ids, i, 0);
-      host.pass(50).ended(sent, Outcome.ERRORED, 50, Note.SOURCE_UNREACHED);
+      if (sent != null) {
+        host.pass(50).ended(sent, Outcome.ERRORED, 50, Note.SOURCE_UNREACHED);
+      }
     }
     host.pass(1000);
     assertTrue(host.get(++ids, 500, 0).source() != 7);
