--- a/src/test/java/amberpath/ControlTest.java
+++ b/src/test/java/amberpath/ControlTest.java
@@ -355,10 +355,11 @@
   /** Met on a day with a slow origin: both parents' fills timed out, and all fills went to the origin. */
   @Test
   void parentsBehindWhichTheOriginFailsStayTheSources() {
+    int ended = 0;
     for (int i = 0; i < 40; i++) {
-      Sent sent = host.get(++ids, i, 0);
-      if (sent != null) {
-        host.pass(50).ended(sent, Outcome.ERRORED, 50, Note.SOURCE_UNREACHED);
+      host.pass(50).get(++ids, i, 0);
+      while (ended < host.sent.size()) {
+        host.ended(host.sent.get(ended++), Outcome.ERRORED, 50, Note.SOURCE_UNREACHED);
       }
     }
     host.pass(1000);
