A cold cache's budget is what warm caches of its own kind return

What is usual is now kept by the kind that the list tells, the last figure while none is warm. Covers any loss of the stronger or the weaker part of a store. May hurt where a kind was never seen warm: its budget then starts at one transfer for all gateways.

--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -9,7 +9,6 @@
 import java.util.TreeMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.Predicate;
@@ -57,7 +56,8 @@
 
   private final Site site;
   private final Service[] services;
-  private final Cold coldCache, coldParent;
+  private final Map<String, Cold> colds = new TreeMap<>();
+  private final int here, all;
   private final SplittableRandom random;
 
   private final Map<Integer, Member> members = new TreeMap<>();
@@ -84,12 +84,10 @@
     random = new SplittableRandom(site.seed());
     services = new Service[site.deliveryServices()];
     Arrays.setAll(services, Service::new);
-    coldCache = new Cold(site.coldShare(), site.coldTime(), site.fallMultiple(), site.gatewaysHere());
-    coldParent = new Cold(site.parentColdShare(), site.parentColdTime(), site.parentFallMultiple(),
-        site.gateways());
+    here = Math.max(1, site.gatewaysHere());
+    all = Math.max(1, site.gateways());
   }
 
-  /** Takes in all that came since the last round and decides on it. */
   public void round(long time, Arrivals in, Decisions to) {
     now = time;
     out = to;
@@ -122,7 +120,7 @@
 
     // Where gateways share the zone, a part that does not follow the last one seen is of another viewing.
     long[] seen = starts.getOrDefault(object, NEVER);
-    boolean other = coldCache.sharers > 1 && (seen == NEVER || part <= seen[3]);
+    boolean other = here > 1 && (seen == NEVER || part <= seen[3]);
     long previous = part == 0 || other ? started(object) : seen[1];
     starts.getOrDefault(object, new long[4])[3] = part;
     if (!get.write && (get.segment < KMIN || admitted(object, get.segment, previous))) {
@@ -145,8 +143,7 @@
 
   /** Whether a later segment is kept: contiguous and, the table full, worth more than the least in it. */
   private boolean admitted(long object, int segment, long previous) {
-    boolean shared = coldCache.sharers > 1;
-    boolean contiguous = segment - 1 < KMIN || shared && admitted(object, segment - 1, previous);
+    boolean contiguous = segment - 1 < KMIN || here > 1 && admitted(object, segment - 1, previous);
     int lowest = -1;
     double least = Double.MAX_VALUE;
     for (int i = 0; i < tabled; i++) {
@@ -270,8 +267,6 @@
     purges.merge(object != 0 ? object : ~(long) group, now - ago, Math::max);
   }
 
-  // ---- How forwards end.
-
   @Override public void begun(long id, int copy) {
     if (gets.containsKey(id)) {
       gets.get(id).streaming = true;
@@ -408,8 +403,6 @@
         && (site.group(ds) == Group.ZONE || member.cell == ran.cache.cell));
   }
 
-  // ---- Limits.
-
   /** Guards against a slow origin: past the limit only what cache or parent hold is returned, ageing too. */
   private boolean crowdedOrigin(Get get) {
     return get.unfilled || !get.write && !originLoad.hasRoom(now, unkept(get));
@@ -497,7 +490,7 @@
     for (Member member : members.values()) {
       member.late = 0;
       member.settle(now);
-      member.held = member.mid || member.origin ? 0 : member.held;
+      member.held = member.edge ? member.held : 0;
     }
     for (Load load : new Load[] {originLoad, link}) {
       load.settle(now);
@@ -516,9 +509,9 @@
       }
     }
     // A source past its limit is stuck itself: what waits there does not use the link.
-    members.values().forEach(one -> link.held += one.cold == coldCache ? 0 : Math.min(one.held, one.most));
-    judge(caches, coldCache);
-    judge(parents, coldParent);
+    members.values().forEach(one -> link.held += one.edge ? 0 : Math.min(one.held, one.most));
+    judge(caches);
+    judge(parents);
     for (Forward forward : new ArrayList<>(open)) {
       Get get = forward.get;
       boolean cacheOut = forward.cache.share(now) == 0;
@@ -532,7 +525,7 @@
   }
 
   /** Sets aside who keeps GETs waiting and gives no sign of life, unless most of its peers do too. */
-  private void judge(Member[] peers, Cold cold) {
+  private void judge(Member[] peers) {
     long up = Arrays.stream(peers).filter(member -> member.up).count();
     long well = Arrays.stream(peers).filter(peer -> peer.up && !peer.waits() && peer.share(now) > 0).count();
     for (Member member : peers) {
@@ -540,13 +533,15 @@
         setAside(member);
       }
     }
-    double mean = Arrays.stream(peers).filter(peer -> peer.up && peer.share(now) > 0 && peer.ramp(now) >= 1)
-        .mapToDouble(peer -> peer.carried(now, 0)).average().orElse(cold.usual); // Also while none is warm.
-    cold.usual = Math.max(1.0 / cold.sharers, mean);
+    // Guards against small caches that restarted together: the large ones left carry more than they can.
+    for (Cold cold : colds.values()) {
+      cold.usual = Arrays.stream(peers).filter(peer -> peer.cold == cold && peer.up && peer.share(now) > 0)
+          .filter(peer -> peer.ramp(now) >= 1).mapToDouble(peer -> peer.carried(now, 0)).average()
+          .orElse(cold.usual);
+      cold.usual = Math.max(1.0 / cold.sharers, cold.usual);
+    }
   }
 
-  // ---- The list of caches.
-
   @Override public void listing(Arrivals.Listing what) {
     members.values().forEach(member -> member.up &= what != Arrivals.Listing.FULL);
     watching = what != Arrivals.Listing.NONE;
@@ -561,7 +556,10 @@
     member.weight = site.weighsSizes() ? Math.max(weight, 1e-3) : 1;
     member.mid = kind.equals(site.midKind());
     member.origin = kind.equals(site.originKind());
-    member.cold = member.mid || member.origin ? coldParent : coldCache;
+    member.edge = !member.mid && !member.origin;
+    member.cold = colds.computeIfAbsent(kind, name -> member.edge
+        ? new Cold(site.coldShare(), site.coldTime(), site.fallMultiple(), here)
+        : new Cold(site.parentColdShare(), site.parentColdTime(), site.parentFallMultiple(), all));
     if (startedAt > member.startedAt) {
       member.startedAt = startedAt;
       member.most = 0;
@@ -574,15 +572,14 @@
   }
 
   @Override public void listed() {
-    caches = members(member -> !member.mid && !member.origin && member.zone.equals(site.zone()));
+    caches = members(member -> member.edge && member.zone.equals(site.zone()));
     parents = members(member -> member.mid);
     origin = members.values().stream().filter(member -> member.origin).findFirst().orElse(null);
-    double all = members(member -> !member.mid && !member.origin && member.up).length;
-    double ofAll = all / EACH / coldParent.sharers;
+    double edges = members(member -> member.edge && member.up).length;
+    double ofAll = edges / EACH / all;
     originLoad.part(ofAll);
-    link.part(caches.length / EACH / coldCache.sharers);
-    double ofOne = 1.0 / coldCache.sharers;
-    members.values().forEach(member -> member.part(member.cold == coldParent ? ofAll : ofOne));
+    link.part(caches.length / EACH / here);
+    members.values().forEach(member -> member.part(member.edge ? 1.0 / here : ofAll));
   }
 
   private Member[] members(Predicate<Member> which) {
@@ -698,7 +695,7 @@
       this.share = share;
       this.time = time;
       this.fallMultiple = fallMultiple;
-      this.sharers = Math.max(1, sharers);
+      this.sharers = sharers;
       usual = 1.0 / this.sharers;
     }
   }
@@ -708,7 +705,7 @@
     final long hash;
     String zone;
     int cell, late, strikes;
-    boolean up, mid, origin;
+    boolean up, mid, origin, edge;
     double weight;
     Cold cold;
     long startedAt, heardAt, setAsideAt, trialAt, provedAt, spentAt, carriedAt, pause = PAUSE;
@@ -746,8 +743,8 @@
     final Service service;
     final long id, object;
     final int group;
-    final List<Forward> forwards = new ArrayList<>(2);
-    final List<Member> tried = new ArrayList<>(2);
+    final ArrayList<Forward> forwards = new ArrayList<>(2);
+    final ArrayList<Member> tried = new ArrayList<>(2);
     long due, patience;
     int segment, rank, out;
     boolean write, told, sized, unfilled, streaming, done;
--- a/src/test/java/amberpath/ControlTest.java
+++ b/src/test/java/amberpath/ControlTest.java
@@ -209,6 +209,27 @@
     assertTrue(cold >= 1 && cold <= 2, "sent " + cold);
   }
 
+  /** Met on a hunted day: small caches restarted together, and the large ones left gave them their budget. */
+  @Test
+  void aColdCachesBudgetIsWhatItsOwnKindReturns() {
+    int[] sent = new int[2];
+    for (int kind = 0; kind < 2; kind++) {
+      FakeHost one = new FakeHost();
+      one.sized = false;
+      one.coldKind = kind == 0 ? "box" : "small";
+      one.list(1, 2, 3, 5, 6, 7).round();
+      for (int i = 0; i < 400; i++) {
+        one.pass(10).returned(one.get(i, i, 0), 50, Note.HIT);
+      }
+      one.change(0, State.UP, one.now);
+      for (int i = 1000; i < 1400; i++) {
+        Sent get = one.get(i, i, 0);
+        sent[kind] += get != null && get.cache() == 0 ? 1 : 0;
+      }
+    }
+    assertTrue(sent[0] > sent[1] && sent[1] > 0, "like the others " + sent[0] + ", of its own kind " + sent[1]);
+  }
+
   /** Met at full size: a hundred gateways' parts of a cold cache's budget are each less than one GET. */
   @Test
   void manyGatewaysTogetherKeepAColdCachesBudgetAndUseIt() {
--- a/src/test/java/amberpath/FakeHost.java
+++ b/src/test/java/amberpath/FakeHost.java
@@ -24,6 +24,7 @@
   boolean bypass = false;
   boolean sized = true;
   int gateways = 1;
+  String coldKind = "box";
   int seed = 7;
   final List<Sent> sent = new ArrayList<>();
   final List<Long> shed = new ArrayList<>();
@@ -55,8 +56,8 @@
     return round();
   }
 
-  private static void member(Arrivals.Events to, int cache, State state, long startedAt) {
-    String kind = cache == 7 ? "origin" : cache > 4 ? "parent" : "box";
+  private void member(Arrivals.Events to, int cache, State state, long startedAt) {
+    String kind = cache == 7 ? "origin" : cache > 4 ? "parent" : cache == 0 ? coldKind : "box";
     String zone = cache > 4 ? "hub" : cache == 4 ? "other" : "here";
     to.member(cache, "10.0.0." + cache + ":90", zone, kind, cache % 2, state, 4, startedAt);
   }
@@ -130,139 +131,38 @@
   @Override public void watchList() {
   }
 
-  @Override public long seed() {
-    return seed;
-  }
-
-  @Override public int gateways() {
-    return 3 * gateways;
-  }
-
-  @Override public int gatewaysHere() {
-    return gateways;
-  }
-
-  @Override public String zone() {
-    return "here";
-  }
-
-  @Override public String midKind() {
-    return "parent";
-  }
-
-  @Override public String originKind() {
-    return "origin";
-  }
-
-  @Override public boolean weighsSizes() {
-    return sized;
-  }
-
-  @Override public boolean listOnRequest() {
-    return false;
-  }
-
-  @Override public int deliveryServices() {
-    return 1;
-  }
-
-  @Override public Effect effect(int ds) {
-    return effect;
-  }
-
-  @Override public Group group(int ds) {
-    return group;
-  }
-
-  @Override public long window(int ds) {
-    return 1000 * MS;
-  }
-
-  @Override public long latencyObjective(int ds) {
-    return 300 * MS;
-  }
-
-  @Override public double stretch(int ds) {
-    return 2;
-  }
-
-  @Override public double revenue(int ds) {
-    return 1;
-  }
-
-  @Override public boolean neverKept(int ds) {
-    return false;
-  }
-
-  @Override public long fresh(int ds) {
-    return fresh;
-  }
-
-  @Override public long grace(int ds) {
-    return fresh;
-  }
-
-  @Override public int maxForwards() {
-    return 4;
-  }
-
-  @Override public boolean secondCopies() {
-    return true;
-  }
-
-  @Override public boolean callOff() {
-    return true;
-  }
-
-  @Override public boolean retryAfter() {
-    return true;
-  }
-
-  @Override public long maxRetryAfter() {
-    return 500 * MS;
-  }
-
-  @Override public boolean bypass() {
-    return bypass;
-  }
-
-  @Override public boolean joins() {
-    return true;
-  }
-
-  @Override public double flowKbPerSecond() {
-    return 1000;
-  }
-
-  @Override public long purgeTakes() {
-    return 6000 * MS;
-  }
-
-  @Override public double coldShare() {
-    return 0.1;
-  }
-
-  @Override public long coldTime() {
-    return 10_000 * MS;
-  }
-
-  @Override public double fallMultiple() {
-    return 3;
-  }
-
-  @Override public long fallTime() {
-    return 1000 * MS;
-  }
-
-  @Override public double parentColdShare() {
-    return 0.1;
-  }
-
-  @Override public long parentColdTime() {
-    return 10_000 * MS;
-  }
-
-  @Override public double parentFallMultiple() {
-    return 2;
-  }
+  @Override public long seed() { return seed; }
+  @Override public int gateways() { return 3 * gateways; }
+  @Override public int gatewaysHere() { return gateways; }
+  @Override public String zone() { return "here"; }
+  @Override public String midKind() { return "parent"; }
+  @Override public String originKind() { return "origin"; }
+  @Override public boolean weighsSizes() { return sized; }
+  @Override public boolean listOnRequest() { return false; }
+  @Override public int deliveryServices() { return 1; }
+  @Override public Effect effect(int ds) { return effect; }
+  @Override public Group group(int ds) { return group; }
+  @Override public long window(int ds) { return 1000 * MS; }
+  @Override public long latencyObjective(int ds) { return 300 * MS; }
+  @Override public double stretch(int ds) { return 2; }
+  @Override public double revenue(int ds) { return 1; }
+  @Override public boolean neverKept(int ds) { return false; }
+  @Override public long fresh(int ds) { return fresh; }
+  @Override public long grace(int ds) { return fresh; }
+  @Override public int maxForwards() { return 4; }
+  @Override public boolean secondCopies() { return true; }
+  @Override public boolean callOff() { return true; }
+  @Override public boolean retryAfter() { return true; }
+  @Override public long maxRetryAfter() { return 500 * MS; }
+  @Override public boolean bypass() { return bypass; }
+  @Override public boolean joins() { return true; }
+  @Override public double flowKbPerSecond() { return 1000; }
+  @Override public long purgeTakes() { return 6000 * MS; }
+  @Override public double coldShare() { return 0.1; }
+  @Override public long coldTime() { return 10_000 * MS; }
+  @Override public double fallMultiple() { return 3; }
+  @Override public long fallTime() { return 1000 * MS; }
+  @Override public double parentColdShare() { return 0.1; }
+  @Override public long parentColdTime() { return 10_000 * MS; }
+  @Override public double parentFallMultiple() { return 2; }
 }
