--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -328,7 +328,7 @@
         }
         if (note == Note.SOURCE_UNREACHED) {
           forward.source.strikes++;
-          forward.source.answered(now, false);
+          suspect(forward).answered(now, false);
         } else if (note == Note.ORIGIN_ERRORED || note == Note.SOURCE_TURNED_AWAY) {
           boolean origins = note == Note.ORIGIN_ERRORED || forward.source == origin;
           (origins ? originLoad : forward.source).refused(now);
@@ -336,13 +336,18 @@
           forward.cache.refused(now);
         }
       }
-      case NO_ANSWER -> forward.source.answered(now, forward.source == forward.cache);
+      case NO_ANSWER -> suspect(forward).answered(now, forward.source == forward.cache);
       case LOST -> forward.cache.strikes++; // Guards against resets of single answers: no outage.
       case NO_CONNECTION -> setAside(forward.cache);
       default -> { }
     }
   }
 
+  /** Guards parents against a slow origin's blame: whichever of the two was known late last. */
+  private Load suspect(Forward forward) {
+    return !forward.heldOnly && originLoad.cutAt > forward.source.cutAt ? originLoad : forward.source;
+  }
+
   /** A further forward where the GET's kind, its time and the cap permit; else the final answer, at once. */
   private void tryFurther(Get get, Forward last, Outcome outcome, Note note) {
     get.unfilled |= note == Note.ORIGIN_ERRORED; // Another parent would only ask the same origin again.
