--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -34,13 +34,12 @@
 
   // Standing: how many late GETs and what silence set a member aside, and how it comes back.
   private static final long SWEEP = 20 * MS, SILENCE = 600 * MS, STEP = 500 * MS;
-  private static final long PAUSE = 250 * MS, LONGEST_PAUSE = 4000 * MS;
+  private static final long PAUSE = 250 * MS, LONGEST_PAUSE = 4000 * MS, SUSPECT = 1000 * MS;
   private static final double TRICKLE = 1.0 / 16, LATE = 2;
 
   // Cold ramp: parts of what the guarantee allows; the rest is left for what other gateways do unseen.
   private static final double SLICE = 0.9, BUDGET = 0.5, SURE = 1.5, CARRIED_OVER = 4e9;
 
-  // Further forwards: share of GETs, how many may be saved up, and the least time left for one.
   private static final double FURTHER_SHARE = 0.2, FURTHER_SAVED = 40, LEAST_LEFT = 20 * MS;
 
   // Limits, for a gateway that has EACH caches to itself; others take their part of them.
@@ -328,7 +327,7 @@
         }
         if (note == Note.SOURCE_UNREACHED) {
           forward.source.strikes++;
-          suspect(forward).answered(now, false);
+          forward.source.answered(now, false);
         } else if (note == Note.ORIGIN_ERRORED || note == Note.SOURCE_TURNED_AWAY) {
           boolean origins = note == Note.ORIGIN_ERRORED || forward.source == origin;
           (origins ? originLoad : forward.source).refused(now);
@@ -336,18 +335,13 @@
           forward.cache.refused(now);
         }
       }
-      case NO_ANSWER -> suspect(forward).answered(now, forward.source == forward.cache);
+      case NO_ANSWER -> forward.source.answered(now, forward.source == forward.cache);
       case LOST -> forward.cache.strikes++; // Guards against resets of single answers: no outage.
       case NO_CONNECTION -> setAside(forward.cache);
       default -> { }
     }
   }
 
-  /** Guards parents against a slow origin's blame: whichever of the two was known late last. */
-  private Load suspect(Forward forward) {
-    return !forward.heldOnly && originLoad.cutAt > forward.source.cutAt ? originLoad : forward.source;
-  }
-
   /** A further forward where the GET's kind, its time and the cap permit; else the final answer, at once. */
   private void tryFurther(Get get, Forward last, Outcome outcome, Note note) {
     get.unfilled |= note == Note.ORIGIN_ERRORED; // Another parent would only ask the same origin again.
@@ -426,14 +420,14 @@
     return (CROWDED * held + CROWD) / Math.max(weights, 1e-3);
   }
 
+  /** What waits long is at the origin if that was late last: guards parents against a slow origin's blame. */
   private void count(Forward forward, double likely) {
+    boolean late = likely == 1 && originLoad.cutAt > Math.max(forward.source.cutAt, now - SUSPECT);
+    double share = late || forward.source == origin ? 1 : forward.get.service.originShare();
     forward.source.held += likely;
-    double share = forward.source == origin ? 1 : forward.get.service.originShare();
     originLoad.held += forward.heldOnly ? 0 : likely * share;
   }
 
-  // ---- Standing, ramp and budget.
-
   private void alive(Member member, long sentAt) {
     member.heardAt = now;
     member.strikes = 0;
