--- a/src/main/java/amberpath/Arrivals.java
+++ b/src/main/java/amberpath/Arrivals.java
@@ -43,9 +43,8 @@
     /** A streamed answer has begun. */
     void begun(long id, int copy);
 
-    /** A forward has ended; settled: the GET has, too. waited is the time to its source's first byte, 0 untold. */
-    void ended(long id, int copy, int cache, Outcome outcome, long took, boolean settled, Note note,
-        long waited);
+    /** A forward has ended; settled tells that the GET has, too. */
+    void ended(long id, int copy, int cache, Outcome outcome, long took, boolean settled, Note note);
 
     /** The viewer left. */
     void left(long id);
--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -46,8 +46,7 @@
   // Past CROWDED times its part, and CROWD more, a cache passes on before its limit.
   private static final double EACH = 3, CROWDED = 1.75, CROWD = 4;
   private static final double FIRST_LIMIT = 24, LEAST_LIMIT = 3, LATE_CUT = 0.85, USED_OVER = 2, REFUSED = 1;
-  private static final double DEAR = 1.5, DEARER = 1.5, UNKEPT = 0.8, CUT_EVERY = 200 * MS;
-  private static final double PROMPT = 0.75, FIRST_BYTE = 0.5;
+  private static final double DEAR = 1.5, DEARER = 1.5, UNKEPT = 0.8, PROMPT = 0.75, CUT_EVERY = 200 * MS;
 
   // Measurements: histograms with two bins to a doubling, halved when full.
   private static final int BINS = 24, FULL = 512;
@@ -274,7 +273,7 @@
   }
 
   @Override public void ended(long id, int copy, int cache, Outcome outcome, long took, boolean settled,
-      Note note, long waited) {
+      Note note) {
     Get get = gets.get(id);
     if (get == null || copy >= get.forwards.size() || !open.remove(get.forwards.get(copy))) {
       return;
@@ -282,7 +281,7 @@
     Forward forward = get.forwards.get(copy);
     get.out--;
     forward.cache.held--;
-    learn(forward, outcome, took, note, waited);
+    learn(forward, outcome, took, note);
     if (!outcome.notRun && (get.ran == null || forward.sentAt < get.ran.sentAt)) {
       get.ran = forward;
     }
@@ -295,10 +294,9 @@
     }
   }
 
-  private void learn(Forward forward, Outcome outcome, long took, Note note, long waited) {
+  private void learn(Forward forward, Outcome outcome, long took, Note note) {
     Service service = forward.get.service;
-    boolean byOrigin = note == Note.FILLED_BY_ORIGIN; // Judged by its first byte: the way from it is far.
-    boolean inTime = (byOrigin && waited > 0 ? waited / FIRST_BYTE : took / PROMPT) <= forward.get.patience;
+    boolean inTime = took <= forward.get.patience * PROMPT;
     switch (outcome) {
       case RETURNED -> {
         service.counted(note);
@@ -307,6 +305,7 @@
         long[] seen = starts.getOrDefault(forward.get.object, new long[4]);
         seen[2] = seen[2] == 0 ? took : Math.min(seen[2], took);
         boolean hit = note == Note.HIT || note == Note.NOTHING;
+        boolean byOrigin = note == Note.FILLED_BY_ORIGIN;
         if (hit && !forward.get.told) {
           service.measure(took);
         } else if (!hit) {
--- a/src/main/java/amberpath/wire/WireGateway.java
+++ b/src/main/java/amberpath/wire/WireGateway.java
@@ -57,8 +57,7 @@
       case "verdict":
         Fields verdict = event.named("verdict");
         to.ended(verdict.whole("op-id"), verdict.place("copy", 0), cache(verdict), outcome(verdict),
-            verdict.timeOr("rtt-s", 0), verdict.flag("settled"), note(verdict),
-            verdict.timeOr("first-byte-s", 0));
+            verdict.timeOr("rtt-s", 0), verdict.flag("settled"), note(verdict));
         break;
       case "head-received":
         Fields head = event.named("head-received");
--- a/src/test/java/amberpath/FakeHost.java
+++ b/src/test/java/amberpath/FakeHost.java
@@ -75,8 +75,7 @@
 
   FakeHost ended(Sent one, Outcome outcome, long tookMs, Note note) {
     boolean settled = outcome == Outcome.RETURNED;
-    long waited = note == Note.FILLED_BY_ORIGIN ? tookMs * MS : 0;
-    events.add(to -> to.ended(one.get, one.copy, one.cache, outcome, tookMs * MS, settled, note, waited));
+    events.add(to -> to.ended(one.get, one.copy, one.cache, outcome, tookMs * MS, settled, note));
     return round();
   }
 
