A parent's limit is its part among the parents listed

Cause: counted on tills big-2, half the fills are denied by the link's limit while the two well hub caches answer in 0.2 s: three aged ones may each hold as much as the whole link, as a parent's first limit did not shrink with their number.

--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -42,9 +42,9 @@
 
   private static final double FURTHER_SHARE = 0.2, FURTHER_SAVED = 40, LEAST_LEFT = 20 * MS;
 
-  // Limits, for a gateway that has EACH caches to itself; others take their part of them.
+  // Limits, for a gateway with EACH caches to itself and SOURCES parents; others take their part of them.
   // Past CROWDED times its part, and CROWD more, a cache passes on before its limit.
-  private static final double EACH = 3, CROWDED = 1.75, CROWD = 4;
+  private static final double EACH = 3, SOURCES = 2, CROWDED = 1.75, CROWD = 4;
   private static final double FIRST_LIMIT = 24, LEAST_LIMIT = 3, LATE_CUT = 0.85, USED_OVER = 2, REFUSED = 1;
   private static final double DEAR = 1.5, DEARER = 1.5, UNKEPT = 0.8, PROMPT = 0.75, CUT_EVERY = 200 * MS;
 
@@ -357,7 +357,6 @@
     }
   }
 
-  /** Sends the GET again, elsewhere; false where that may not be. */
   private boolean again(Get get) {
     return !get.streaming && get.due - now >= LEAST_LEFT && get.forwards.size() < site.maxForwards()
         && further >= 1 && further-- >= 1 && place(get);
@@ -578,7 +577,8 @@
     double ofAll = edges / EACH / all;
     originLoad.part(ofAll);
     link.part(caches.length / EACH / here);
-    members.values().forEach(member -> member.part(member.edge ? 1.0 / here : ofAll));
+    double ofParent = ofAll * SOURCES / Math.max(SOURCES, parents.length);
+    members.values().forEach(member -> member.part(member.edge ? 1.0 / here : ofParent));
   }
 
   private Member[] members(Predicate<Member> which) {
