First limits are lower where many gateways share a zone

Cause: each of many gateways sees few answers and takes long to cut a first limit that does not fit.

--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -48,8 +48,7 @@
   private static final double FIRST_LIMIT = 24, LEAST_LIMIT = 3, LATE_CUT = 0.85, USED_OVER = 2, REFUSED = 1;
   private static final double DEAR = 1.5, DEARER = 1.5, UNKEPT = 0.8, PROMPT = 0.75, CUT_EVERY = 200 * MS;
 
-  // Measurements: histograms with two bins to a doubling, halved when full.
-  private static final int BINS = 24, FULL = 512;
+  private static final int BINS = 24, FULL = 512; // Histograms: two bins to a doubling, halved when full.
 
   private static final long[] NEVER = new long[4];
 
@@ -97,8 +96,7 @@
     in.replay(this);
   }
 
-  // ---- The ordinary path of a GET.
-
+  /** The ordinary path of a GET. */
   @Override public void get(long id, int ds, long object, int group, int part, long timeLeft, double kb,
       boolean write) {
     Service service = services[ds];
@@ -575,10 +573,11 @@
     origin = members.values().stream().filter(member -> member.origin).findFirst().orElse(null);
     double edges = members(member -> member.edge && member.up).length;
     double ofAll = edges / EACH / all;
-    originLoad.part(ofAll);
-    link.part(caches.length / EACH / here);
+    double first = FIRST_LIMIT * (1 + 1.0 / here) / 2; // Where many share, each learns more slowly.
+    originLoad.part(ofAll, first);
+    link.part(caches.length / EACH / here, first);
     double ofParent = ofAll * SOURCES / Math.max(SOURCES, parents.length);
-    members.values().forEach(member -> member.part(member.edge ? 1.0 / here : ofParent));
+    members.values().forEach(member -> member.part(member.edge ? 1.0 / here : ofParent, first));
   }
 
   private Member[] members(Predicate<Member> which) {
@@ -648,9 +647,9 @@
     }
 
     /** Guards against the sum of many gateways' limits: this gateway's part follows from what is told. */
-    void part(double told) {
+    void part(double told, double first) {
       part = Math.max(told, 1e-3);
-      most = most == 0 ? FIRST_LIMIT * part : most;
+      most = most == 0 ? first * part : most;
     }
 
     void settle(long now) {
