--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -675,7 +675,7 @@
     void answered(long now, boolean inTime) {
       settle(now);
       if (inTime) {
-        most += owed > 0 || 2 * held >= most ? 0.5 * part / most : 0;
+        most += owed > 0 || 2 * held >= most ? part / most : 0;
       } else if (now - cutAt > CUT_EVERY) {
         most = Math.max(LEAST_LIMIT * part, Math.min(most, 2 * used + part) * LATE_CUT);
         cutAt = now;
