--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -44,7 +44,7 @@
 
   // Limits, for a gateway with EACH caches to itself and SOURCES parents; others take their part of them.
   // Past CROWDED times its part, and CROWD more, a cache passes on before its limit.
-  private static final double EACH = 3, SOURCES = 2, CROWDED = 1.75, CROWD = 4, ROOM = 4, SHRINKS_OVER = 250;
+  private static final double EACH = 3, SOURCES = 2, CROWDED = 1.75, CROWD = 4;
   private static final double FIRST_LIMIT = 24, LEAST_LIMIT = 3, LATE_CUT = 0.85, USED_OVER = 2, REFUSED = 1;
   private static final double DEAR = 1.5, DEARER = 1.5, UNKEPT = 0.8, PROMPT = 0.75, CUT_EVERY = 200 * MS;
 
@@ -488,8 +488,6 @@
       member.settle(now);
       member.held = member.edge ? member.held : 0;
     }
-    double spare = originLoad.most - Math.max(LEAST_LIMIT * originLoad.part, ROOM * originLoad.used);
-    originLoad.most -= Math.max(0, spare) / SHRINKS_OVER; // Guards against a sudden slow one, before it is late.
     for (Load load : new Load[] {originLoad, link}) {
       load.settle(now);
       load.held = 0;
