--- a/src/main/java/amberpath/Site.java
+++ b/src/main/java/amberpath/Site.java
@@ -64,6 +64,9 @@
 
   boolean joins();
 
+  /** True where caches of other zones may be the source of a fill. */
+  boolean fillsAbroad();
+
   double flowKbPerSecond();
 
   long purgeTakes();
--- a/src/main/java/amberpath/wire/WireSite.java
+++ b/src/main/java/amberpath/wire/WireSite.java
@@ -20,6 +20,7 @@
   private final long maxRetryAfter;
   private final boolean bypass;
   private final boolean joins;
+  private final boolean fillsAbroad;
   private final double flowKbPerSecond;
   private final long purgeTakes;
   private final double coldShare;
@@ -56,6 +57,7 @@
     maxRetryAfter = bounds.timeOr("max-retry-after-s", 0);
     bypass = family.flag("bypass-allowed");
     joins = family.flag("collapses");
+    fillsAbroad = family.has("neighbours") && family.text("neighbours").equals("any");
     flowKbPerSecond = family.numberOr("flow-kb-per-s", 0);
     purgeTakes = family.timeOr("purge-takes-s", 0);
     coldShare = rules.numberOr("cold-share", 1);
@@ -175,6 +177,10 @@
     return joins;
   }
 
+  @Override public boolean fillsAbroad() {
+    return fillsAbroad;
+  }
+
   @Override public double flowKbPerSecond() {
     return flowKbPerSecond;
   }
