--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -40,7 +40,7 @@
   // Cold ramp: parts of what the guarantee allows; the rest is left for what other gateways do unseen.
   private static final double SLICE = 0.9, BUDGET = 0.5, SURE = 1.5, CARRIED_OVER = 4e9;
 
-  private static final double FURTHER_SHARE = 0.2, FURTHER_SAVED = 40, ABROAD = 2, LEAST_LEFT = 20 * MS;
+  private static final double FURTHER_SHARE = 0.2, FURTHER_SAVED = 40, LEAST_LEFT = 20 * MS;
 
   // Limits, for a gateway with EACH caches to itself and SOURCES parents; others take their part of them.
   // Past CROWDED times its part, and CROWD more, a cache passes on before its limit.
@@ -59,7 +59,7 @@
   private final SplittableRandom random;
 
   private final Map<Integer, Member> members = new TreeMap<>();
-  private Member[] caches = {}, parents = {}, abroad = {};
+  private Member[] caches = {}, parents = {};
   private Member origin;
 
   private final Map<Long, Get> gets = new TreeMap<>();
@@ -172,7 +172,7 @@
     Member source = source(get);
     Member cache = get.write && site.bypass() && source != null ? source : cache(get);
     if (cache != null) {
-      forward(get, cache, source, source == null || source.edge || crowdedOrigin(get));
+      forward(get, cache, source, source == null || crowdedOrigin(get));
     }
     return cache != null;
   }
@@ -190,10 +190,6 @@
     if (!get.write && !link.hasRoom(now, unkept(get))) {
       return null;
     }
-    if (get.abroad > 0) {
-      Member other = first(abroad, get, get.segment, true, false);
-      return other != null && other.ramp(now) >= 1 ? other : null;
-    }
     Member best = first(parents, get, 0, true, !get.write);
     if (best != null || first(parents, get, 0, true, false) != null) {
       return best;
@@ -353,12 +349,6 @@
     if (!heldOnly && !get.unfilled) {
       get.tried.add(source ? last.source : last.cache);
     }
-    if (heldOnly && note == Note.SOURCE_LACKS && abroad.length > 0 && get.abroad++ < ABROAD) {
-      get.tried.add(last.source);
-      if (again(get)) {
-        return;
-      }
-    }
     if (heldOnly && (source(get) == null || crowdedOrigin(get))
         || outcome == Outcome.NO_ANSWER || !again(get)) {
       giveUp(get);
@@ -578,7 +568,6 @@
   }
 
   @Override public void listed() {
-    abroad = members(member -> site.fillsAbroad() && member.edge && !member.zone.equals(site.zone()));
     caches = members(member -> member.edge && member.zone.equals(site.zone()));
     parents = members(member -> member.mid);
     origin = members.values().stream().filter(member -> member.origin).findFirst().orElse(null);
@@ -755,7 +744,7 @@
     final ArrayList<Forward> forwards = new ArrayList<>(2);
     final ArrayList<Member> tried = new ArrayList<>(2);
     long due, patience;
-    int segment, rank, out, abroad;
+    int segment, rank, out;
     boolean write, told, sized, unfilled, streaming, done;
     Forward ran;
 
--- a/src/main/java/amberpath/Site.java
+++ b/src/main/java/amberpath/Site.java
@@ -64,9 +64,6 @@
 
   boolean joins();
 
-  /** True where caches of other zones may be the source of a fill. */
-  boolean fillsAbroad();
-
   double flowKbPerSecond();
 
   long purgeTakes();
--- a/src/main/java/amberpath/wire/WireSite.java
+++ b/src/main/java/amberpath/wire/WireSite.java
@@ -20,7 +20,6 @@
   private final long maxRetryAfter;
   private final boolean bypass;
   private final boolean joins;
-  private final boolean fillsAbroad;
   private final double flowKbPerSecond;
   private final long purgeTakes;
   private final double coldShare;
@@ -57,7 +56,6 @@
     maxRetryAfter = bounds.timeOr("max-retry-after-s", 0);
     bypass = family.flag("bypass-allowed");
     joins = family.flag("collapses");
-    fillsAbroad = family.has("neighbours") && family.text("neighbours").equals("any");
     flowKbPerSecond = family.numberOr("flow-kb-per-s", 0);
     purgeTakes = family.timeOr("purge-takes-s", 0);
     coldShare = rules.numberOr("cold-share", 1);
@@ -177,10 +175,6 @@
     return joins;
   }
 
-  @Override public boolean fillsAbroad() {
-    return fillsAbroad;
-  }
-
   @Override public double flowKbPerSecond() {
     return flowKbPerSecond;
   }
--- a/src/test/java/amberpath/FakeHost.java
+++ b/src/test/java/amberpath/FakeHost.java
@@ -23,7 +23,6 @@
   long fresh = 0;
   boolean bypass = false;
   boolean sized = true;
-  boolean abroad = false;
   int gateways = 1;
   String coldKind = "box";
   int seed = 7;
@@ -157,7 +156,6 @@
   @Override public long maxRetryAfter() { return 500 * MS; }
   @Override public boolean bypass() { return bypass; }
   @Override public boolean joins() { return true; }
-  @Override public boolean fillsAbroad() { return abroad; }
   @Override public double flowKbPerSecond() { return 1000; }
   @Override public long purgeTakes() { return 6000 * MS; }
   @Override public double coldShare() { return 0.1; }
