--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -191,7 +191,7 @@
       return null;
     }
     Member best = first(parents, get, 0, true, !get.write);
-    if (best != null || first(parents, get, 0, true, false) != null) {
+    if (best != null) {
       return best;
     }
     best = origin != null && origin.up && !get.tried.contains(origin) ? origin
