--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -314,7 +314,7 @@
           Member whose = hit ? forward.cache : forward.source;
           (byOrigin ? originLoad : whose).answered(now, inTime);
           if (!hit && !byOrigin) {
-            link.answered(now, took <= forward.get.patience); // Its sources may be far.
+            link.answered(now, inTime);
           }
         }
       }
