--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -419,7 +419,8 @@
 
   /** What waits long is at the origin if that was late last: guards parents against a slow origin's blame. */
   private void count(Forward forward, double likely) {
-    boolean late = likely == 1 && originLoad.cutAt > Math.max(forward.source.cutAt, now - SUSPECT);
+    long known = Math.max(forward.source.cutAt, now - SUSPECT); // A slow origin is not the parents' fault.
+    boolean late = originLoad.cutAt > known && now - forward.sentAt > forward.get.patience;
     double share = late || forward.source == origin ? 1 : forward.get.service.originShare();
     forward.source.held += likely;
     originLoad.held += forward.heldOnly ? 0 : likely * share;
@@ -571,8 +572,7 @@
     caches = members(member -> member.edge && member.zone.equals(site.zone()));
     parents = members(member -> member.mid);
     origin = members.values().stream().filter(member -> member.origin).findFirst().orElse(null);
-    double edges = members(member -> member.edge && member.up).length;
-    double ofAll = edges / EACH / all;
+    double ofAll = members(member -> member.edge && member.up).length / EACH / all;
     double first = FIRST_LIMIT * (1 + 1.0 / here) / 2; // Where many share, each learns more slowly.
     originLoad.part(ofAll, first);
     link.part(caches.length / EACH / here, first);
