--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -451,7 +451,7 @@
   /** Whether a member takes a key, by its place in the shared hash: cold ramp's slice, and trickle. */
   private boolean takes(Member member, double place) {
     double share = member.share(now);
-    return share == 0 ? now >= member.trialAt && member.held < 1
+    return share == 0 ? now >= member.trialAt && member.held == 0
         : place < share && (member.ramp(now) >= 1 || place < SLICE * member.ramp(now));
   }
 
@@ -524,9 +524,9 @@
   /** Sets aside who keeps GETs waiting and gives no sign of life, unless most of its peers do too. */
   private void judge(Member[] peers) {
     long up = Arrays.stream(peers).filter(member -> member.up).count();
-    long well = Arrays.stream(peers).filter(peer -> peer.up && !peer.waits() && peer.share(now) > 0).count();
+    long well = Arrays.stream(peers).filter(peer -> peer.up && !peer.waits(now) && peer.share(now) > 0).count();
     for (Member member : peers) {
-      if (member.up && member.waits() && now - member.heardAt > SILENCE && 2 * well >= up) {
+      if (member.up && member.waits(now) && now - member.heardAt > SILENCE && 2 * well >= up) {
         setAside(member);
       }
     }
@@ -725,8 +725,8 @@
       return startedAt == 0 || since >= cold.time ? 1 : cold.share + (1 - cold.share) * since / cold.time;
     }
 
-    boolean waits() {
-      return late + strikes >= LATE;
+    boolean waits(long now) {
+      return late + strikes >= (share(now) == 0 ? 1 : LATE);
     }
 
     /** Work returned a second, over the last few: what is only sent tells nothing of what can be carried. */
