--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -38,7 +38,7 @@
   private static final double TRICKLE = 1.0 / 16, LATE = 2;
 
   // Cold ramp: parts of what the guarantee allows; the rest is left for what other gateways do unseen.
-  private static final double SLICE = 1, BUDGET = 0.6, SURE = 1.5, CARRIED_OVER = 4e9;
+  private static final double SLICE = 0.9, BUDGET = 0.5, SURE = 1.5, CARRIED_OVER = 4e9;
 
   private static final double FURTHER_SHARE = 0.2, FURTHER_SAVED = 40, LEAST_LEFT = 20 * MS;
 
