--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -46,7 +46,7 @@
   // Past CROWDED times its part, and CROWD more, a cache passes on before its limit.
   private static final double EACH = 3, SOURCES = 2, CROWDED = 1.75, CROWD = 4;
   private static final double FIRST_LIMIT = 24, LEAST_LIMIT = 3, LATE_CUT = 0.85, USED_OVER = 2, REFUSED = 1;
-  private static final double DEAR = 1.5, DEARER = 1.5, UNKEPT = 0.7, PROMPT = 0.75, CUT_EVERY = 200 * MS;
+  private static final double DEAR = 1.5, DEARER = 1.5, UNKEPT = 0.8, PROMPT = 0.75, CUT_EVERY = 200 * MS;
 
   private static final int BINS = 24, FULL = 512; // Histograms: two bins to a doubling, halved when full.
 
@@ -200,7 +200,7 @@
   }
 
   private double unkept(Get get) {
-    return dear(get.service) * (get.rank == 0 ? UNKEPT : get.rank == FIRST_RANK ? (1 + UNKEPT) / 2 : 1);
+    return dear(get.service) * (get.rank == 0 ? UNKEPT : 1);
   }
 
   /** The first by highest random weight, so that all gateways agree, also on the next. Cold budgets bind. */
