--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -30,7 +30,7 @@
   private static final long MS = 1_000_000L;
 
   // The design's own values.
-  private static final int KMIN = 3, TABLE = 96, STARTS = 8192, RANK = 2, FIRST_RANK = 1;
+  private static final int KMIN = 3, TABLE = 256, STARTS = 8192, RANK = 2, FIRST_RANK = 1;
 
   // Standing: how many late GETs and what silence set a member aside, and how it comes back.
   private static final long SWEEP = 20 * MS, SILENCE = 600 * MS, STEP = 500 * MS;
