--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -45,7 +45,7 @@
   // Limits, for a gateway with EACH caches to itself and SOURCES parents; others take their part of them.
   // Past CROWDED times its part, and CROWD more, a cache passes on before its limit.
   private static final double EACH = 3, SOURCES = 2, CROWDED = 1.75, CROWD = 4;
-  private static final double FIRST_LIMIT = 24, LEAST_LIMIT = 3, LATE_CUT = 0.7, USED_OVER = 2, REFUSED = 1;
+  private static final double FIRST_LIMIT = 24, LEAST_LIMIT = 3, LATE_CUT = 0.8, USED_OVER = 2, REFUSED = 1;
   private static final double DEAR = 1.5, DEARER = 1.5, UNKEPT = 0.8, PROMPT = 0.75, CUT_EVERY = 200 * MS;
 
   private static final int BINS = 24, FULL = 512; // Histograms: two bins to a doubling, halved when full.
