--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -42,8 +42,7 @@
 
   private static final double FURTHER_SHARE = 0.2, FURTHER_SAVED = 40, LEAST_LEFT = 20 * MS;
 
-  // Limits, for a gateway with EACH caches to itself and SOURCES parents; others take their part of them.
-  // Past CROWDED times its part, and CROWD more, a cache passes on before its limit.
+  // Limits, for a gateway with EACH caches to itself and SOURCES parents. CROWDED, CROWD: spread before them.
   private static final double EACH = 3, SOURCES = 2, CROWDED = 1.75, CROWD = 4;
   private static final double FIRST_LIMIT = 24, LEAST_LIMIT = 3, LATE_CUT = 0.8, USED_OVER = 2, REFUSED = 1;
   private static final double DEAR = 1.5, DEARER = 1.5, UNKEPT = 0.8, PROMPT = 0.75, CUT_EVERY = 200 * MS;
@@ -577,7 +576,8 @@
     originLoad.part(ofAll, first);
     link.part(caches.length / EACH / here, first);
     double ofParent = ofAll * SOURCES / Math.max(SOURCES, parents.length);
-    members.values().forEach(member -> member.part(member.edge ? 1.0 / here : ofParent, first));
+    members.values().forEach(member ->
+        member.part(member.edge ? 1.0 / here : ofParent, member.edge ? FIRST_LIMIT : first));
   }
 
   private Member[] members(Predicate<Member> which) {
