--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -523,7 +523,7 @@
   /** Sets aside who keeps GETs waiting and gives no sign of life, unless most of its peers do too. */
   private void judge(Member[] peers) {
     long up = Arrays.stream(peers).filter(member -> member.up).count();
-    long well = Arrays.stream(peers).filter(peer -> peer.up && !peer.waits(now) && peer.share(now) > 0).count();
+    long well = Arrays.stream(peers).filter(one -> one.up && !one.waits(now) && one.share(now) > 0).count();
     for (Member member : peers) {
       if (member.up && member.waits(now) && now - member.heardAt > SILENCE && 2 * well >= up) {
         setAside(member);
