--- a/src/main/java/amberpath/Arrivals.java
+++ b/src/main/java/amberpath/Arrivals.java
@@ -29,10 +29,10 @@
 
   /** The callbacks. */
   interface Events {
-    /** A list of caches begins; its members follow, then {@link #listed}. */
+    /** A list of caches begins; its members follow under stable ids, then {@link #listed}. */
     void listing(Listing what);
 
-    void member(int cache, String address, String zone, String kind, int cell, State state, double weight,
+    void member(int cache, String id, String zone, String kind, int cell, State state, double weight,
         long startedAt);
 
     void listed();
--- a/src/main/java/amberpath/wire/Fields.java
+++ b/src/main/java/amberpath/json/Fields.java
@@ -1,4 +1,4 @@
-package amberpath.wire;
+package amberpath.json;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
@@ -9,41 +9,41 @@
 import java.util.Map;
 
 /** The fields of one JSON object, read with plain messages on what is missing or of the wrong type. */
-final class Fields {
+public final class Fields {
   private final String name;
   private final Map<String, Object> values;
 
-  Fields(String name, Map<String, Object> values) {
+  public Fields(String name, Map<String, Object> values) {
     this.name = name;
     this.values = values;
   }
 
   /** The same fields under the name of the message that they make up. */
-  Fields named(String other) {
+  public Fields named(String other) {
     return new Fields(other, values);
   }
 
-  boolean has(String key) {
+  public boolean has(String key) {
     return values.get(key) != null;
   }
 
-  boolean flag(String key) {
+  public boolean flag(String key) {
     return has(key) && take(key, Boolean.class, "true or false");
   }
 
-  String text(String key) {
+  public String text(String key) {
     return take(key, String.class, "a string");
   }
 
-  long whole(String key) {
+  public long whole(String key) {
     return take(key, Long.class, "a whole number");
   }
 
-  long wholeOr(String key, long absent) {
+  public long wholeOr(String key, long absent) {
     return has(key) ? whole(key) : absent;
   }
 
-  int place(String key, int absent) {
+  public int place(String key, int absent) {
     long value = wholeOr(key, absent);
     if (value != (int) value) {
       throw wrong(key, "too large");
@@ -51,37 +51,37 @@
     return (int) value;
   }
 
-  double number(String key) {
+  public double number(String key) {
     return take(key, Number.class, "a number").doubleValue();
   }
 
-  double numberOr(String key, double absent) {
+  public double numberOr(String key, double absent) {
     return has(key) ? number(key) : absent;
   }
 
   /** A time in seconds, as nanoseconds; the wire counts whole microseconds. */
-  long time(String key) {
+  public long time(String key) {
     return nanos(number(key));
   }
 
-  long timeOr(String key, long absent) {
+  public long timeOr(String key, long absent) {
     return has(key) ? time(key) : absent;
   }
 
-  static long nanos(double seconds) {
+  public static long nanos(double seconds) {
     return Math.round(seconds * 1e6) * 1000;
   }
 
-  Fields fields(String key) {
+  public Fields fields(String key) {
     return new Fields(name + " " + key, map(take(key, Map.class, "an object")));
   }
 
-  Fields fieldsOr(String key) {
+  public Fields fieldsOr(String key) {
     return has(key) ? fields(key) : new Fields(name + " " + key, Map.of());
   }
 
   /** The objects of an array; none where it is absent. */
-  List<Fields> each(String key) {
+  public List<Fields> each(String key) {
     List<Fields> all = new ArrayList<>();
     for (Object one : list(key)) {
       if (!(one instanceof Map)) {
@@ -92,12 +92,12 @@
     return all;
   }
 
-  List<?> list(String key) {
+  public List<?> list(String key) {
     return has(key) ? take(key, List.class, "an array") : List.of();
   }
 
   /** The value at one place of an array; absent where the array is shorter. */
-  <T> T at(String key, int place, Class<T> type, T absent) {
+  public <T> T at(String key, int place, Class<T> type, T absent) {
     List<?> all = list(key);
     if (place < 0 || place >= all.size() || all.get(place) == null) {
       return absent;
@@ -108,7 +108,7 @@
     return type.cast(all.get(place));
   }
 
-  Malformed wrong(String key, String what) {
+  public Malformed wrong(String key, String what) {
     return new Malformed(name + ": field '" + key + "' is " + what);
   }
 
@@ -128,14 +128,14 @@
     return (Map<String, Object>) value;
   }
 
-  /** Reads the one JSON object that a line holds. */
-  static Fields read(JsonParser parser) throws IOException {
+  /** Reads the one JSON object that a text holds. */
+  public static Fields read(String name, JsonParser parser) throws IOException {
     if (parser.nextToken() != JsonToken.START_OBJECT) {
-      throw new Malformed("batch: not an object");
+      throw new Malformed(name + ": not an object");
     }
-    Fields all = new Fields("batch", map(value(parser)));
+    Fields all = new Fields(name, map(value(parser)));
     if (parser.nextToken() != null) {
-      throw new Malformed("batch: more than one value on the line");
+      throw new Malformed(name + ": more than one value");
     }
     return all;
   }
@@ -172,8 +172,8 @@
   }
 
   /** Something on the wire is not as the wire page has it. */
-  static final class Malformed extends RuntimeException {
-    Malformed(String message) {
+  public static final class Malformed extends RuntimeException {
+    public Malformed(String message) {
       super(message);
     }
   }
--- a/src/main/java/amberpath/wire/WireSite.java
+++ b/src/main/java/amberpath/json/JsonSite.java
@@ -1,10 +1,10 @@
-package amberpath.wire;
+package amberpath.json;
 
 import amberpath.Site;
 import java.util.List;
 
 /** The settings that a gateway is started with, decoded once. */
-final class WireSite implements Site {
+public final class JsonSite implements Site {
   private final long seed;
   private final String zone;
   private final int gateways;
@@ -36,7 +36,7 @@
   private final double[] stretches, revenues;
   private final boolean[] neverKept;
 
-  WireSite(long seed, Fields all) {
+  public JsonSite(long seed, Fields all) {
     Fields family = all.fieldsOr("family-info");
     Fields bounds = all.fieldsOr("bounds");
     Fields rules = all.fieldsOr("guarantees");
@@ -111,7 +111,7 @@
   }
 
   /** The place of a delivery service in the settings, or -1. */
-  int service(String name) {
+  public int service(String name) {
     return List.of(names).indexOf(name);
   }
 
--- a/src/main/java/amberpath/wire/WireGateway.java
+++ b/src/main/java/amberpath/wire/WireGateway.java
@@ -3,6 +3,8 @@
 import amberpath.Arrivals;
 import amberpath.Control;
 import amberpath.Decisions;
+import amberpath.json.Fields;
+import amberpath.json.JsonSite;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -15,7 +17,7 @@
 /** One gateway on the bench's wire: decodes its events into callbacks and writes its decisions down. */
 final class WireGateway implements Decisions {
   private final int number;
-  private final WireSite site;
+  private final JsonSite site;
   private final Control control;
   private final Map<String, Integer> caches = new HashMap<>();
   private final List<String> addresses = new ArrayList<>();
@@ -24,7 +26,7 @@
 
   WireGateway(int number, Fields up) {
     this.number = number;
-    site = new WireSite(up.whole("seed"), up.fields("profile-data"));
+    site = new JsonSite(up.whole("seed"), up.fields("profile-data"));
     control = new Control(site);
   }
 
--- a/src/main/java/amberpath/wire/WireHost.java
+++ b/src/main/java/amberpath/wire/WireHost.java
@@ -1,5 +1,6 @@
 package amberpath.wire;
 
+import amberpath.json.Fields;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
@@ -54,7 +55,7 @@
   private void answer(String line, OutputStream reply) throws IOException {
     Fields batch;
     try (JsonParser parser = json.createParser(line)) {
-      batch = Fields.read(parser);
+      batch = Fields.read("batch", parser);
     }
     long now = batch.time("wall-s");
     try (JsonGenerator to = json.createGenerator(reply)) {
