--- a/src/main/java/amberpath/Main.java
+++ b/src/main/java/amberpath/Main.java
@@ -1,5 +1,6 @@
 package amberpath;
 
+import amberpath.gateway.Server;
 import amberpath.wire.WireHost;
 import java.io.IOException;
 
@@ -9,10 +10,14 @@
   }
 
   public static void main(String[] args) throws IOException {
-    if (args.length == 1 && args[0].equals("wirehost")) {
-      System.exit(new WireHost(System.in, System.out, System.err).run());
+    String command = args.length == 1 ? args[0] : "";
+    switch (command) {
+      case "serve" -> Server.run(System.getenv(), System.err);
+      case "wirehost" -> System.exit(new WireHost(System.in, System.out, System.err).run());
+      default -> {
+        System.err.println("usage: amberpath serve | wirehost");
+        System.exit(2);
+      }
     }
-    System.err.println("usage: amberpath wirehost");
-    System.exit(2);
   }
 }
--- /dev/null
+++ b/src/main/java/amberpath/gateway/Admit.java
@@ -0,0 +1,33 @@
+package amberpath.gateway;
+
+import amberpath.json.JsonSite;
+import amberpath.msgpack.ClientConnection;
+import amberpath.msgpack.ClientGet;
+
+/** Second stage: what can't be meant for the decisions, or passes the bound told, is answered here. */
+final class Admit {
+  private final JsonSite site;
+  private final int mostOpen;
+  private final Book book;
+  private final Route route;
+
+  Admit(JsonSite site, int mostOpen, Book book, Route route) {
+    this.site = site;
+    this.mostOpen = mostOpen;
+    this.book = book;
+    this.route = route;
+  }
+
+  void get(ClientConnection from, long number, ClientGet asked, long due) {
+    int ds = site.service(asked.service());
+    if (ds < 0) {
+      from.errored(number, "no delivery service " + asked.service());
+    } else if (book.unanswered() >= mostOpen) {
+      from.shed(number, 0);
+    } else {
+      OpenGet get = new OpenGet(book.nextId(), from, number, asked, ds, due);
+      book.open(get);
+      route.get(get);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/amberpath/gateway/Book.java
@@ -0,0 +1,63 @@
+package amberpath.gateway;
+
+import amberpath.msgpack.ClientConnection;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Last stage: which GETs are open, until each is answered and its last forward has ended. */
+final class Book {
+  private final Map<Long, OpenGet> gets = new LinkedHashMap<>();
+  private final Map<ClientConnection, Map<Long, OpenGet>> unanswered = new LinkedHashMap<>();
+  private long last;
+  private int waiting;
+
+  OpenGet get(long id) {
+    return gets.get(id);
+  }
+
+  long nextId() {
+    return ++last;
+  }
+
+  void open(OpenGet get) {
+    gets.put(get.id, get);
+    unanswered.computeIfAbsent(get.client, client -> new LinkedHashMap<>()).put(get.number, get);
+    waiting++;
+  }
+
+  /** How many owe an answer. */
+  int unanswered() {
+    return waiting;
+  }
+
+  OpenGet unanswered(ClientConnection client, long number) {
+    return unanswered.getOrDefault(client, Map.of()).get(number);
+  }
+
+  List<OpenGet> unanswered(ClientConnection client) {
+    return new ArrayList<>(unanswered.getOrDefault(client, Map.of()).values());
+  }
+
+  List<OpenGet> allUnanswered() {
+    return gets.values().stream().filter(get -> !get.answered).toList();
+  }
+
+  void answered(OpenGet get) {
+    get.answered = true;
+    waiting--;
+    Map<Long, OpenGet> ofClient = unanswered.get(get.client);
+    ofClient.remove(get.number);
+    if (ofClient.isEmpty()) {
+      unanswered.remove(get.client);
+    }
+    close(get);
+  }
+
+  void close(OpenGet get) {
+    if (get.answered && get.out == 0) {
+      gets.remove(get.id);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/amberpath/gateway/Gateway.java
@@ -0,0 +1,118 @@
+package amberpath.gateway;
+
+import amberpath.Control;
+import amberpath.journal.Entries;
+import amberpath.journal.JournalClient;
+import amberpath.msgpack.ClientConnection;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetServerOptions;
+import java.util.logging.Logger;
+
+/** One gateway, from start to exit. All of it runs on one event loop. */
+public final class Gateway {
+  /** The phases, in order. Clients are let in by the front only while it is SERVING. */
+  public enum Phase { NEW, STARTING, SERVING, DRAINING, STOPPED }
+
+  private static final Logger LOG = Logger.getLogger(Gateway.class.getName());
+  /** How long connections and requests come after the word to stop, and when the kill may come. */
+  private static final long STILL_COMING_MS = 750, LAST_ANSWERS_MS = 3500, CHECK_MS = 20, SWEEP_MS = 1000;
+
+  private final Vertx vertx;
+  private final GatewayOptions options;
+  private final Clock clock = new Clock();
+  private final Book book = new Book();
+  private final Promise<Void> stopped = Promise.promise();
+  private final Caches caches;
+  private final Relay relay;
+  private final Route route;
+  private final TakeIn takeIn;
+  private final JournalClient journal;
+  private final Entries entries = new Entries();
+  private NetServer server;
+  private Phase phase = Phase.NEW;
+
+  /** The given Vert.x must have one event loop only, or this must be called on the context that is to own it. */
+  public Gateway(Vertx vertx, GatewayOptions options) {
+    this.vertx = vertx;
+    this.options = options;
+    relay = new Relay(vertx, book);
+    caches = new Caches(vertx, options, clock);
+    Send send = new Send(vertx, clock, caches, relay, book, options.site().maxForwards());
+    route = new Route(vertx, clock, new Control(options.site()), book, send, relay);
+    send.endingsTo(route);
+    caches.newsTo(route);
+    Admit admit = new Admit(options.site(), options.mostOpen(), book, route);
+    takeIn = new TakeIn(clock, book, admit, route, relay, () -> phase == Phase.SERVING);
+    journal = new JournalClient(vertx, options.journal(), entries, caches);
+  }
+
+  private void enter(Phase next) {
+    LOG.info(options.name() + ": " + phase + " -> " + next);
+    phase = next;
+  }
+
+  public Phase phase() {
+    return phase;
+  }
+
+  /** Plays what is known into the decisions, then listens. */
+  public Future<Gateway> start() {
+    Promise<Gateway> started = Promise.promise();
+    vertx.runOnContext(loop -> {
+      enter(Phase.STARTING);
+      entries.play(options.known(), caches);
+      server = vertx.createNetServer(new NetServerOptions().setAcceptBacklog(1024));
+      server.connectHandler(socket -> takeIn.clients.add(
+          new ClientConnection(socket, options.clientQueue(), takeIn)));
+      server.listen(options.listen()).onComplete(listening -> {
+        if (listening.failed()) {
+          started.fail(listening.cause());
+          return;
+        }
+        journal.start();
+        vertx.setPeriodic(SWEEP_MS, sweep -> caches.sweep());
+        enter(Phase.SERVING);
+        started.complete(this);
+      });
+    });
+    return started.future();
+  }
+
+  public int port() {
+    return server.actualPort();
+  }
+
+  /** Answers what still comes and all that was taken, then lets go of everything. */
+  public Future<Void> stop() {
+    vertx.runOnContext(loop -> {
+      if (phase == Phase.SERVING) {
+        enter(Phase.DRAINING);
+        long since = clock.now();
+        vertx.setPeriodic(CHECK_MS, timer -> {
+          long passed = (clock.now() - since) / 1_000_000;
+          if (passed > LAST_ANSWERS_MS) {
+            book.allUnanswered().forEach(get -> {
+              relay.errored(get, "stopping");
+              route.arrived(get, to -> to.left(get.id));
+            });
+          }
+          if (passed > STILL_COMING_MS && book.unanswered() == 0) {
+            vertx.cancelTimer(timer);
+            vertx.setTimer(CHECK_MS, flushed -> close());
+          }
+        });
+      }
+    });
+    return stopped.future();
+  }
+
+  private void close() {
+    enter(Phase.STOPPED);
+    journal.close();
+    caches.close();
+    server.close().onComplete(closed -> stopped.complete());
+  }
+}
--- /dev/null
+++ b/src/main/java/amberpath/gateway/GatewayOptions.java
@@ -0,0 +1,154 @@
+package amberpath.gateway;
+
+import amberpath.json.Fields;
+import amberpath.json.JsonSite;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import io.vertx.core.net.SocketAddress;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+
+/** All that a gateway is told when it starts: read, checked and given defaults here, and nowhere else. */
+public final class GatewayOptions {
+  private static final int LEAST_DESCRIPTORS = 96, RUNTIME_DESCRIPTORS = 48;
+  private static final int MOST_TO_CACHE = 8;
+
+  private final String name;
+  private final SocketAddress listen, journal;
+  private final JsonSite site;
+  private final Fields known;
+  private final long connectTimeout, connectionIdle;
+  private final int wantsOnConnection, mostOpen, descriptors;
+  private final long memory;
+
+  private GatewayOptions(Map<String, String> environment, Fields all) {
+    name = environment.getOrDefault("PROXY_NAME", all.has("name") ? all.text("name") : "gateway");
+    String address = environment.get("PROXY_LISTEN");
+    listen = address != null ? address("PROXY_LISTEN", address) : address(all, "listen");
+    journal = address(all, "journal");
+    known = all.has("known") ? all.fields("known") : new Fields("known", Map.of());
+    Fields limits = all.fieldsOr("limits");
+    descriptors = atLeast(limits, "sockets", 1024, LEAST_DESCRIPTORS);
+    memory = (long) atLeast(limits, "memory_mb", 192, 64) << 20;
+    Fields settings = all.fields("settings");
+    site = new JsonSite(seed(all), settings);
+    Fields bounds = settings.fieldsOr("bounds");
+    connectTimeout = bounds.timeOr("connect-timeout-s", 400_000_000);
+    connectionIdle = bounds.timeOr("conn-idle-s", 30_000_000_000L);
+    wantsOnConnection = Math.max(1, bounds.place("multiplex", 1));
+    mostOpen = Math.max(1, bounds.place("max-open", Integer.MAX_VALUE));
+  }
+
+  /** Reads what the environment names. A message of {@link Fields.Malformed} names the faulty key. */
+  public static GatewayOptions read(Map<String, String> environment) {
+    String path = environment.get("PROXY_CONFIG");
+    if (path == null) {
+      throw new Fields.Malformed("environment: PROXY_CONFIG is missing");
+    }
+    try (JsonParser parser = new JsonFactory().createParser(Files.readAllBytes(Path.of(path)))) {
+      return new GatewayOptions(environment, Fields.read("configuration", parser));
+    } catch (JsonProcessingException e) {
+      throw new Fields.Malformed("PROXY_CONFIG: " + path + " is not JSON: " + e.getOriginalMessage());
+    } catch (IOException e) {
+      throw new Fields.Malformed("PROXY_CONFIG: " + path + " can't be read: " + e);
+    }
+  }
+
+  private static int atLeast(Fields from, String key, int absent, int least) {
+    int value = from.place(key, absent);
+    if (value < least) {
+      throw from.wrong(key, "under " + least);
+    }
+    return value;
+  }
+
+  private static long seed(Fields all) {
+    try {
+      return Long.parseUnsignedLong(all.text("seed"), 16);
+    } catch (NumberFormatException e) {
+      throw all.wrong("seed", "not a hexadecimal number");
+    }
+  }
+
+  private static SocketAddress address(Fields from, String key) {
+    try {
+      return address(key, from.text(key));
+    } catch (Fields.Malformed e) {
+      throw e.getMessage().startsWith(key) ? from.wrong(key, e.getMessage().substring(key.length() + 1)) : e;
+    }
+  }
+
+  /** An address and port, already resolved: nothing is ever looked up. */
+  static SocketAddress address(String key, String text) {
+    int colon = text.lastIndexOf(':');
+    String host = colon < 0 ? "" : text.substring(0, colon).replace("[", "").replace("]", "");
+    try {
+      int port = Integer.parseInt(text.substring(colon + 1));
+      if (!host.isEmpty() && host.matches("[0-9a-fA-F.:]+") && port >= 0 && port < 1 << 16) {
+        return SocketAddress.inetSocketAddress(new InetSocketAddress(InetAddress.getByName(host), port));
+      }
+    } catch (NumberFormatException | UnknownHostException e) {
+      // Said below.
+    }
+    throw new Fields.Malformed(key + " no address:port: " + text);
+  }
+
+  public String name() {
+    return name;
+  }
+
+  public SocketAddress listen() {
+    return listen;
+  }
+
+  public SocketAddress journal() {
+    return journal;
+  }
+
+  public JsonSite site() {
+    return site;
+  }
+
+  public Fields known() {
+    return known;
+  }
+
+  public long connectTimeout() {
+    return connectTimeout;
+  }
+
+  /** When an idle connection is left: well before the cache closes it, so that no GET crosses that. */
+  public long connectionIdle() {
+    return connectionIdle * 3 / 4;
+  }
+
+  public int wantsOnConnection() {
+    return wantsOnConnection;
+  }
+
+  public int mostOpen() {
+    return mostOpen;
+  }
+
+  /** Connections that clients may hold. */
+  public int clientConnections() {
+    return descriptors / 2;
+  }
+
+  /** Connections to each of so many caches, of what clients and the runtime leave. */
+  public int connectionsToEach(int caches) {
+    int left = descriptors - descriptors / 2 - RUNTIME_DESCRIPTORS;
+    return Math.max(1, Math.min(MOST_TO_CACHE, left / Math.max(1, caches)));
+  }
+
+  /** What one client may leave unread. */
+  public int clientQueue() {
+    return (int) Math.min(Integer.MAX_VALUE, memory / 48);
+  }
+}
--- /dev/null
+++ b/src/main/java/amberpath/gateway/Send.java
@@ -0,0 +1,142 @@
+package amberpath.gateway;
+
+import amberpath.Arrivals.Note;
+import amberpath.Arrivals.Outcome;
+import amberpath.Decisions;
+import amberpath.resp.Want;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+
+/** Fourth stage: forwards go to the caches, and each ends once with its outcome. */
+final class Send {
+  private static final String[] SWITCHES = {"join", "held", "nocopy", "renew"};
+
+  private final Vertx vertx;
+  private final Clock clock;
+  private final Caches caches;
+  private final Relay relay;
+  private final Book book;
+  private final int mostForwards;
+  private Route route;
+
+  Send(Vertx vertx, Clock clock, Caches caches, Relay relay, Book book, int mostForwards) {
+    this.vertx = vertx;
+    this.clock = clock;
+    this.caches = caches;
+    this.relay = relay;
+    this.book = book;
+    this.mostForwards = mostForwards;
+  }
+
+  void endingsTo(Route to) {
+    route = to;
+  }
+
+  void forward(OpenGet get, int cache, long until, int source, long age, int rank, int switches) {
+    if (get == null) {
+      return;
+    }
+    long now = clock.now();
+    long end = until <= 0 ? get.due : Math.min(until, get.due);
+    byte[] fields = fields(get, cache, source, age, rank, switches);
+    Sent sent = new Sent(get, get.forwards.size(), cache, source, now, end, fields);
+    get.forwards.add(sent);
+    get.out++;
+    if (get.answered || sent.copy >= mostForwards) {
+      sent.ended(Outcome.NOT_SENT, Note.NOTHING, null);
+      return;
+    }
+    sent.timer = vertx.setTimer(Math.max(1, (end - now + 999_999) / 1_000_000), late -> sent.late());
+    caches.pool(cache).send(sent);
+  }
+
+  private byte[] fields(OpenGet get, int cache, int source, long age, int rank, int switches) {
+    ByteArrayOutputStream out = new ByteArrayOutputStream(160);
+    put(out, "kind=", get.asked.service().getBytes(StandardCharsets.UTF_8));
+    put(out, ",obj=", get.asked.object());
+    put(out, ",seg=", get.asked.part());
+    if (source != cache) {
+      put(out, ",miss=", caches.id(source));
+    }
+    if (rank > 0) {
+      put(out, ",prio=", Integer.toString(rank));
+    }
+    if (age > 0) {
+      put(out, ",within=", Long.toString(Math.max(1, age / 1_000_000)));
+    }
+    String word = ",f=";
+    for (int bit = 0; bit < SWITCHES.length; bit++) {
+      if ((switches & 1 << bit) != 0) {
+        put(out, word, SWITCHES[bit]);
+        word = "+";
+      }
+    }
+    if (get.asked.known().length > 0) {
+      put(out, ",mine=", get.asked.known());
+    }
+    return out.toByteArray();
+  }
+
+  private static void put(ByteArrayOutputStream out, String name, String value) {
+    put(out, name, value.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static void put(ByteArrayOutputStream out, String name, byte[] value) {
+    out.writeBytes(name.getBytes(StandardCharsets.ISO_8859_1));
+    out.writeBytes(value);
+  }
+
+  void callOff(OpenGet get, int copy) {
+    if (get != null && copy < get.forwards.size()) {
+      get.forwards.get(copy).givenUp(Outcome.CALLED_OFF, false);
+    }
+  }
+
+  /** One forward, from the decision to its one outcome. */
+  final class Sent extends Want {
+    final OpenGet get;
+    final int copy, cache, source;
+    final long sentAt;
+    private long timer = -1;
+    private boolean ended;
+
+    Sent(OpenGet get, int copy, int cache, int source, long sentAt, long until, byte[] fields) {
+      super(get.asked.ref(), fields, get.asked.body(), until);
+      this.get = get;
+      this.copy = copy;
+      this.cache = cache;
+      this.source = source;
+      this.sentAt = sentAt;
+    }
+
+    private void late() {
+      givenUp(isWritten() ? Outcome.NO_ANSWER : Outcome.NO_CONNECTION, true);
+    }
+
+    private void givenUp(Outcome outcome, boolean late) {
+      if (!ended) {
+        caches.pool(cache).giveUp(this, late, sentAt);
+        ended(outcome, Note.NOTHING, null);
+      }
+    }
+
+    /** The first good answer goes to the client; the decisions hear of every ending. */
+    @Override protected void ended(Outcome outcome, Note note, Buffer body) {
+      if (ended) {
+        return;
+      }
+      ended = true;
+      vertx.cancelTimer(timer);
+      get.out--;
+      if (outcome == Outcome.RETURNED) {
+        relay.returned(get, body);
+      }
+      long took = clock.now() - sentAt;
+      boolean settled = get.answered;
+      route.arrived(get, to -> to.ended(get.id, copy, cache, outcome, took, settled, note));
+      book.close(get);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/amberpath/gateway/Server.java
@@ -0,0 +1,45 @@
+package amberpath.gateway;
+
+import amberpath.json.Fields;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
+import java.io.PrintStream;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** A gateway as a process of its own: one event loop, stopped by the runtime's word to end. */
+public final class Server {
+  private static final long STOP_S = 10;
+
+  private Server() {
+  }
+
+  /** Starts a gateway; what keeps it from starting is one plain message and exit code 1. */
+  public static void run(Map<String, String> environment, PrintStream err) {
+    GatewayOptions options;
+    try {
+      options = GatewayOptions.read(environment);
+    } catch (Fields.Malformed e) {
+      err.println(e.getMessage());
+      System.exit(1);
+      return;
+    }
+    Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
+        .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
+            .setClassPathResolvingEnabled(false).setFileCachingEnabled(false)));
+    Gateway gateway = new Gateway(vertx, options);
+    gateway.start().onFailure(e -> {
+      err.println("PROXY_LISTEN: can't listen at " + options.listen() + ": " + e.getMessage());
+      Runtime.getRuntime().halt(1);
+    });
+    // The runtime ends only after its hooks: all that was taken is answered in this one.
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+      try {
+        gateway.stop().toCompletionStage().toCompletableFuture().get(STOP_S, TimeUnit.SECONDS);
+      } catch (Exception e) {
+        err.println("stop: " + e);
+      }
+    }, "stop"));
+  }
+}
--- /dev/null
+++ b/src/main/java/amberpath/msgpack/ClientHandler.java
@@ -0,0 +1,15 @@
+package amberpath.msgpack;
+
+/** Takes what clients say. */
+public interface ClientHandler {
+  /** A GET that can be read; the client's number for it is open until it is answered or withdrawn. */
+  void get(ClientConnection from, long number, ClientGet get);
+
+  void withdrawn(ClientConnection from, long number);
+
+  /** Whether clients may come. */
+  boolean ready();
+
+  /** The connection is gone, and with it all that was open on it. */
+  void closed(ClientConnection from);
+}
