--- a/src/main/java/amberpath/gateway/Caches.java
+++ b/src/main/java/amberpath/gateway/Caches.java
@@ -56,7 +56,7 @@
     Entry entry = entries.get(cache);
     if (entry.pool == null) {
       CachePool.Bounds bounds = new CachePool.Bounds(options.connectionsToEach(entries.size()),
-          options.wantsOnConnection(), options.connectionIdle(), 1 << 20);
+          options.wantsOnConnection(), options.connectTimeout(), options.connectionIdle(), 1 << 20);
       entry.pool = new CachePool(entry.id, entry.address, client, bounds, clock::now);
     }
     return entry.pool;
--- a/src/main/java/amberpath/gateway/Gateway.java
+++ b/src/main/java/amberpath/gateway/Gateway.java
@@ -36,17 +36,21 @@
 
   /** The given Vert.x must have one event loop only, or this must be called on the context that is to own it. */
   public Gateway(Vertx vertx, GatewayOptions options) {
+    this(vertx, options, new Control(options.site())::round);
+  }
+
+  Gateway(Vertx vertx, GatewayOptions options, Route.Rounds decisions) {
     this.vertx = vertx;
     this.options = options;
     relay = new Relay(vertx, book);
     caches = new Caches(vertx, options, clock);
     Send send = new Send(vertx, clock, caches, relay, book, options.site().maxForwards());
-    route = new Route(vertx, clock, new Control(options.site()), book, send, relay);
+    route = new Route(vertx, clock, decisions, book, send, relay);
     send.endingsTo(route);
     caches.newsTo(route);
     Admit admit = new Admit(options.site(), options.mostOpen(), book, route);
     takeIn = new TakeIn(clock, book, admit, route, relay, () -> phase == Phase.SERVING);
-    journal = new JournalClient(vertx, options.journal(), entries, caches);
+    journal = new JournalClient(vertx, options.journal(), entries, caches, JournalClient.WAIT_MS);
   }
 
   private void enter(Phase next) {
@@ -72,6 +76,10 @@
           started.fail(listening.cause());
           return;
         }
+        if (phase != Phase.STARTING) {
+          server.close();
+          return;
+        }
         journal.start();
         vertx.setPeriodic(SWEEP_MS, sweep -> caches.sweep());
         enter(Phase.SERVING);
@@ -88,7 +96,9 @@
   /** Answers what still comes and all that was taken, then lets go of everything. */
   public Future<Void> stop() {
     vertx.runOnContext(loop -> {
-      if (phase == Phase.SERVING) {
+      if (phase.compareTo(Phase.SERVING) < 0) {
+        close();
+      } else if (phase == Phase.SERVING) {
         enter(Phase.DRAINING);
         long since = clock.now();
         vertx.setPeriodic(CHECK_MS, timer -> {
@@ -113,6 +123,6 @@
     enter(Phase.STOPPED);
     journal.close();
     caches.close();
-    server.close().onComplete(closed -> stopped.complete());
+    (server == null ? Future.succeededFuture() : server.close()).onComplete(closed -> stopped.complete());
   }
 }
--- a/src/main/java/amberpath/gateway/Route.java
+++ b/src/main/java/amberpath/gateway/Route.java
@@ -2,7 +2,6 @@
 
 import amberpath.Arrivals;
 import amberpath.Arrivals.Events;
-import amberpath.Control;
 import amberpath.Decisions;
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
@@ -16,22 +15,27 @@
   private static final Logger LOG = Logger.getLogger(Route.class.getName());
   private static final long BACKSTOP_MS = 25;
 
+  /** The decisions: one call a round. */
+  interface Rounds {
+    void round(long now, Arrivals in, Decisions to);
+  }
+
   private record Arrival(OpenGet get, Consumer<Events> event) {
   }
 
   private final Vertx vertx;
   private final Clock clock;
-  private final Control control;
+  private final Rounds decisions;
   private final Book book;
   private final Send send;
   private final Relay relay;
   private List<Arrival> arrivals = new ArrayList<>();
   private List<Arrival> round = List.of();
 
-  Route(Vertx vertx, Clock clock, Control control, Book book, Send send, Relay relay) {
+  Route(Vertx vertx, Clock clock, Rounds decisions, Book book, Send send, Relay relay) {
     this.vertx = vertx;
     this.clock = clock;
-    this.control = control;
+    this.decisions = decisions;
     this.book = book;
     this.send = send;
     this.relay = relay;
@@ -59,7 +63,7 @@
     round = arrivals;
     arrivals = new ArrayList<>();
     try {
-      control.round(clock.now(), this, this);
+      decisions.round(clock.now(), this, this);
     } catch (RuntimeException e) {
       LOG.log(Level.SEVERE, "a round failed", e);
     }
--- a/src/main/java/amberpath/gateway/Send.java
+++ b/src/main/java/amberpath/gateway/Send.java
@@ -3,6 +3,7 @@
 import amberpath.Arrivals.Note;
 import amberpath.Arrivals.Outcome;
 import amberpath.Decisions;
+import amberpath.resp.CachePool;
 import amberpath.resp.Want;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -49,7 +50,7 @@
       return;
     }
     sent.timer = vertx.setTimer(Math.max(1, (end - now + 999_999) / 1_000_000), late -> sent.late());
-    caches.pool(cache).send(sent);
+    sent.pool.send(sent);
   }
 
   private byte[] fields(OpenGet get, int cache, int source, long age, int rank, int switches) {
@@ -90,7 +91,7 @@
 
   void callOff(OpenGet get, int copy) {
     if (get != null && copy < get.forwards.size()) {
-      get.forwards.get(copy).givenUp(Outcome.CALLED_OFF, false);
+      get.forwards.get(copy).givenUp(Outcome.CALLED_OFF);
     }
   }
 
@@ -98,26 +99,28 @@
   final class Sent extends Want {
     final OpenGet get;
     final int copy, cache, source;
-    final long sentAt;
+    private final CachePool pool;
+    private final long sentAt;
     private long timer = -1;
     private boolean ended;
 
     Sent(OpenGet get, int copy, int cache, int source, long sentAt, long until, byte[] fields) {
-      super(get.asked.ref(), fields, get.asked.body(), until);
+      super(get.asked.ref(), fields, get.asked.body(), until, get.forwards);
       this.get = get;
       this.copy = copy;
       this.cache = cache;
       this.source = source;
+      pool = caches.pool(cache);
       this.sentAt = sentAt;
     }
 
     private void late() {
-      givenUp(isWritten() ? Outcome.NO_ANSWER : Outcome.NO_CONNECTION, true);
+      givenUp(isWritten() ? Outcome.NO_ANSWER : Outcome.NO_CONNECTION);
     }
 
-    private void givenUp(Outcome outcome, boolean late) {
+    private void givenUp(Outcome outcome) {
       if (!ended) {
-        caches.pool(cache).giveUp(this, late, sentAt);
+        pool.giveUp(this);
         ended(outcome, Note.NOTHING, null);
       }
     }
--- a/src/main/java/amberpath/msgpack/ClientConnection.java
+++ b/src/main/java/amberpath/msgpack/ClientConnection.java
@@ -1,6 +1,7 @@
 package amberpath.msgpack;
 
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -169,7 +170,8 @@
   }
 
   public void close() {
-    socket.close();
+    // Guards against a peer that does not read: a plain close would wait until it has.
+    ((NetSocketInternal) socket).channelHandlerContext().close();
     gone();
   }
 
--- a/src/main/java/amberpath/msgpack/MessageReader.java
+++ b/src/main/java/amberpath/msgpack/MessageReader.java
@@ -10,7 +10,9 @@
 
 /** Cuts what TCP brings into whole MessagePack values, wherever it was split or merged. */
 final class MessageReader implements Handler<Buffer> {
-  /** Takes one whole value; the array is shared, the value lies from start to end. */
+  private static final int MOST_VALUES = 512, KEPT = 16_384;
+
+  /** Takes one whole value, which lies from start to end of a shared array. */
   interface Sink {
     /** Returns false when nothing more is wanted. */
     boolean message(byte[] bytes, int start, int end);
@@ -20,8 +22,8 @@
 
   private final int longest;
   private final Sink sink;
-  private byte[] held = {};
-  private int wanted = 1;
+  private byte[] held = new byte[1024];
+  private int size;
   private boolean ended;
 
   MessageReader(int longest, Sink sink) {
@@ -33,48 +35,51 @@
     if (ended) {
       return;
     }
-    int start = 0;
-    byte[] bytes = came.getBytes();
-    if (held.length > 0) {
-      int before = held.length;
-      held = Arrays.copyOf(held, before + bytes.length);
-      System.arraycopy(bytes, 0, held, before, bytes.length);
-      bytes = held;
+    if (held.length < size + came.length()) {
+      held = Arrays.copyOf(held, Math.max(size + came.length(), 2 * size));
     }
+    came.getBytes(0, came.length(), held, size);
+    size += came.length();
+    int start = 0;
     try {
-      while (start < bytes.length && bytes.length - start >= wanted) {
-        int end = end(bytes, start);
-        if (end < 0) {
-          break;
-        }
-        wanted = 1;
-        if (!sink.message(bytes, start, end)) {
+      for (int end = end(start); end > start; end = end(start)) {
+        if (!sink.message(held, start, end)) {
           ended = true;
           return;
         }
         start = end;
       }
-      held = start == bytes.length ? new byte[0] : Arrays.copyOfRange(bytes, start, bytes.length);
-      if (held.length > longest) {
+      if (size - start > longest) {
         throw new IOException("message longer than " + longest + " bytes");
       }
     } catch (IOException | RuntimeException e) {
       ended = true;
-      held = new byte[0];
       sink.unreadable(e.getMessage() == null ? e.toString() : e.getMessage());
     }
+    size -= start;
+    held = size == 0 && held.length > KEPT ? new byte[1024] : held;
+    System.arraycopy(held, size == 0 ? 0 : start, held, 0, size);
   }
 
-  /** Where the value ends, or -1 if it has not come whole. */
-  private int end(byte[] bytes, int start) throws IOException {
-    MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes, start, bytes.length - start);
+  /** Where the value at start ends; start if it has not come whole. */
+  private int end(int start) throws IOException {
+    MessageUnpacker in = MessagePack.newDefaultUnpacker(held, start, size - start);
+    long left = 1;
     try {
-      unpacker.skipValue();
-      return start + (int) unpacker.getTotalReadBytes();
+      // Guards against deep nesting, and against many values that come byte by byte and are read anew each time.
+      for (int values = 0; left > 0; values++, left--) {
+        if (values == MOST_VALUES) {
+          throw new IOException("message of more than " + MOST_VALUES + " values");
+        }
+        switch (in.getNextFormat().getValueType()) {
+          case ARRAY -> left += in.unpackArrayHeader();
+          case MAP -> left += 2L * in.unpackMapHeader();
+          default -> in.skipValue();
+        }
+      }
+      return start + (int) in.getTotalReadBytes();
     } catch (MessageInsufficientBufferException e) {
-      // Guards against a message that comes byte by byte: it is read anew only after it has grown by a part.
-      wanted = bytes.length - start + Math.max(1, (bytes.length - start) / 1024);
-      return -1;
+      return start;
     }
   }
 }
--- a/src/main/java/amberpath/resp/CacheConnection.java
+++ b/src/main/java/amberpath/resp/CacheConnection.java
@@ -3,6 +3,7 @@
 import amberpath.Arrivals.Note;
 import amberpath.Arrivals.Outcome;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -20,10 +21,9 @@
   private final NetSocket socket;
   private final Map<String, Want> open = new LinkedHashMap<>();
   private boolean closed;
-  /** When something was last read, last begun to be waited for, and last used at all. */
-  long heardAt, usedAt;
-  /** Set while a want timed out and nothing has been heard since it was sent: the peer may have vanished. */
-  boolean silent;
+  private long heardAt;
+  private long usedAt;
+  private boolean silent;
 
   CacheConnection(CachePool pool, NetSocket socket, int longest, long now) {
     this.pool = pool;
@@ -44,22 +44,30 @@
     return open.size();
   }
 
-  boolean carries(Want want) {
-    return open.containsKey(want.key);
+  /** How long nobody has used it. */
+  long idle(long now) {
+    return open.isEmpty() ? now - usedAt : 0;
+  }
+
+  /** Whether a want was waited for in vain and nothing has come since: the peer may have vanished. */
+  boolean silent() {
+    return silent;
   }
 
   void send(Want want, long now) {
     want.on = this;
-    want.written = true;
+    want.writtenAt = now;
     usedAt = now;
     open.put(want.key, want);
     socket.write(want.encode(now));
   }
 
   /** Gives one up; an answer that crosses this is dropped. */
-  void neverMind(Want want, boolean late, long sentAt) {
+  void neverMind(Want want, long patience) {
     if (open.remove(want.key, want) && !closed) {
-      silent |= late && heardAt < sentAt;
+      // Guards against a peer that vanished: a dead connection takes no new wants. One slow answer is no proof,
+      // so what is open on it goes on.
+      silent |= heardAt < want.writtenAt && pool.now() - want.writtenAt > patience;
       socket.write(want.encodeNeverMind());
       if (silent && open.isEmpty()) {
         close();
@@ -116,7 +124,8 @@
   }
 
   void close() {
-    socket.close();
+    // Guards against a peer that vanished: a plain close would wait until it has read all.
+    ((NetSocketInternal) socket).channelHandlerContext().close();
     gone();
   }
 
--- a/src/main/java/amberpath/resp/CachePool.java
+++ b/src/main/java/amberpath/resp/CachePool.java
@@ -12,8 +12,8 @@
 
 /** The connections to one cache: few, shared by many wants, and bounded. */
 public final class CachePool {
-  /** What bounds a pool: its connections, the wants on one, when an idle one is left, the longest body. */
-  public record Bounds(int connections, int wants, long idle, int longest) {
+  /** What bounds a pool: connections, wants on one, times to connect and to leave an idle one, the longest body. */
+  public record Bounds(int connections, int wants, long connect, long idle, int longest) {
   }
 
   private final String name;
@@ -69,7 +69,7 @@
   private CacheConnection best(Want want, long now) {
     CacheConnection best = null;
     for (CacheConnection one : connections) {
-      if (!one.silent && one.load() < bounds.wants && now - one.usedAt < bounds.idle && !one.carries(want)
+      if (!one.silent() && one.load() < bounds.wants && one.idle(now) < bounds.idle && want.mayUse(one)
           && (best == null || one.load() < best.load())) {
         best = one;
       }
@@ -108,17 +108,17 @@
     failed.forEach(want -> want.ended(outcome, Note.NOTHING, null));
   }
 
-  /** Gives a want up, as late or as no longer wanted; it is told nothing more. */
-  public void giveUp(Want want, boolean late, long sentAt) {
+  /** Gives a want up; it is told nothing more. */
+  public void giveUp(Want want) {
     if (!waiting.remove(want) && want.on != null) {
-      want.on.neverMind(want, late, sentAt);
+      want.on.neverMind(want, bounds.connect);
     }
   }
 
   /** Leaves connections that nobody used for long, before the cache does. */
   public void sweep() {
     long now = now();
-    connections.stream().filter(one -> one.load() == 0 && (one.silent || now - one.usedAt >= bounds.idle))
+    connections.stream().filter(one -> one.idle(now) >= bounds.idle || one.silent() && one.load() == 0)
         .toList().forEach(CacheConnection::close);
   }
 
--- a/src/main/java/amberpath/resp/Want.java
+++ b/src/main/java/amberpath/resp/Want.java
@@ -4,6 +4,7 @@
 import amberpath.Arrivals.Outcome;
 import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 
 /** One forward on its way to a cache. The subclass is told how it ended, once, unless it was given up. */
 public abstract class Want {
@@ -12,21 +13,26 @@
   private final byte[] fields;
   private final byte[] body;
   private final long until;
+  private final List<? extends Want> siblings;
   CacheConnection on;
-  boolean written;
+  long writtenAt;
 
   /**
    * A forward.
    *
-   * @param id the request's id; fields: the list without the time that is left; body: as it came
+   * @param id the request's id, which its siblings share
+   * @param fields the list without the time that is left
+   * @param body the body as it came
    * @param until clock time until which the answer is waited for
+   * @param siblings all forwards of the request
    */
-  protected Want(byte[] id, byte[] fields, byte[] body, long until) {
+  protected Want(byte[] id, byte[] fields, byte[] body, long until, List<? extends Want> siblings) {
     this.key = new String(id, StandardCharsets.ISO_8859_1);
     this.id = id;
     this.fields = fields;
     this.body = body;
     this.until = until;
+    this.siblings = siblings;
   }
 
   /** How it ended; body is null unless the bytes were returned (null too when the client's copy is the one). */
@@ -34,7 +40,12 @@
 
   /** Whether any of it may have reached the cache. */
   public final boolean isWritten() {
-    return written;
+    return on != null;
+  }
+
+  /** Guards against an answer to one forward that is taken for its sibling's: they share an id. */
+  boolean mayUse(CacheConnection connection) {
+    return siblings.stream().noneMatch(one -> one.on == connection);
   }
 
   Buffer encode(long now) {
--- /dev/null
+++ b/src/test/java/amberpath/gateway/GatewayOptionsTest.java
@@ -0,0 +1,78 @@
+package amberpath.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import amberpath.json.Fields;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What a gateway is told: defaults, and one plain message that names the faulty key. */
+class GatewayOptionsTest {
+  private static final String GOOD = "{'name':'n3','listen':'127.0.0.1:7','journal':'127.0.0.1:8','seed':'ff',"
+      + "'limits':{'memory_mb':192,'sockets':1024},'new':{'a':[1]},'settings':{'my-zone':'z','classes':[{'name':'p',"
+      + "'idempotency':'once','target-s':0.25}],'bounds':{'multiplex':100,'conn-idle-s':30.0}}}";
+  @TempDir
+  private Path folder;
+
+  private GatewayOptions read(String json, String... environment) throws Exception {
+    Path file = folder.resolve("config.json");
+    Files.writeString(file, json.replace('\'', '"'));
+    return GatewayOptions.read(environment.length == 0 ? Map.of("PROXY_CONFIG", file.toString())
+        : Map.of("PROXY_CONFIG", file.toString(), environment[0], environment[1]));
+  }
+
+  @Test
+  void whatIsToldIsTakenAndTheRestHasDefaults() throws Exception {
+    GatewayOptions options = read(GOOD);
+    assertEquals("n3", options.name());
+    assertEquals(7, options.listen().port());
+    assertEquals(255, options.site().seed());
+    assertEquals(250_000_000, options.site().latencyObjective(0));
+    assertEquals(400_000_000, options.connectTimeout());
+    assertEquals(0, options.known().each("entries").size());
+    assertEquals(9, read(GOOD, "PROXY_LISTEN", "[::1]:9").listen().port());
+  }
+
+  @Test
+  void clientsAndCachesTogetherStayUnderTheDescriptors() throws Exception {
+    for (int caches : new int[] {1, 20, 60, 400}) {
+      GatewayOptions options = read(GOOD);
+      assertTrue(options.connectionsToEach(caches) * caches + 1024 / 3 < 1024 - 32, "caches " + caches);
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource(delimiter = '|', value = {
+      "'listen':'127.0.0.1:7'                | 'listen':'nowhere'        | field 'listen' is no address:port",
+      "'listen':'127.0.0.1:7'                | 'listen':'a.example:1'    | field 'listen' is no address:port",
+      "'journal':'127.0.0.1:8'               | 'journal':8               | field 'journal' is not a string",
+      "'journal':'127.0.0.1:8',              | ''                        | field 'journal' is missing",
+      "'seed':'ff'                           | 'seed':'xyz'              | field 'seed' is not a hexadecimal",
+      "'memory_mb':192                       | 'memory_mb':1             | limits: field 'memory_mb' is under 64",
+      "'sockets':1024                        | 'sockets':'x'             | limits: field 'sockets' is not a whole",
+      "'my-zone':'z',                        | ''                        | settings: field 'my-zone' is missing",
+      "'idempotency':'once'                  | 'idempotency':'twice'     | field 'idempotency' is of no known kind",
+      "'target-s':0.25                       | 'target-s':'soon'         | field 'target-s' is not a number",
+      "'multiplex':100                       | 'multiplex':'many'        | bounds: field 'multiplex' is not a whole",
+      "{'name'                               | {{'name'                  | is not JSON"}, quoteCharacter = '"')
+  void aFaultyKeyIsNamed(String good, String bad, String message) {
+    String json = GOOD.replace(good, bad.equals("''") ? "" : bad);
+    Fields.Malformed wrong = assertThrows(Fields.Malformed.class, () -> read(json));
+    assertTrue(wrong.getMessage().contains(message), wrong.getMessage());
+  }
+
+  @Test
+  void aMissingFileIsNamed() {
+    Map<String, String> environment = Map.of("PROXY_CONFIG", folder.resolve("none.json").toString());
+    Fields.Malformed wrong = assertThrows(Fields.Malformed.class, () -> GatewayOptions.read(environment));
+    assertTrue(wrong.getMessage().startsWith("PROXY_CONFIG: "), wrong.getMessage());
+    assertThrows(Fields.Malformed.class, () -> GatewayOptions.read(Map.of()));
+  }
+}
--- /dev/null
+++ b/src/test/java/amberpath/gateway/GatewayTest.java
@@ -0,0 +1,535 @@
+package amberpath.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import amberpath.Arrivals;
+import amberpath.Control;
+import amberpath.gateway.StandIns.Answer;
+import amberpath.gateway.StandIns.Cache;
+import amberpath.gateway.StandIns.Client;
+import amberpath.gateway.StandIns.Command;
+import java.io.BufferedReader;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Stories of one gateway among clients, caches and a journal. */
+@Timeout(30)
+class GatewayTest {
+  @TempDir
+  private Path folder;
+  private StandIns world;
+  private Cache cache;
+  private Client client;
+
+  @BeforeEach
+  void start() throws Exception {
+    world = new StandIns();
+    cache = world.start(folder);
+    client = world.client();
+  }
+
+  @AfterEach
+  void end() throws Exception {
+    world.close();
+  }
+
+  private static String text(Answer answer) {
+    return answer.body() == null ? answer.error() : new String(answer.body(), StandardCharsets.UTF_8);
+  }
+
+  // ---- The way of a GET.
+
+  @Test
+  void whatGoesOnUnchangedStaysTheBytesThatCame() throws Exception {
+    byte[] body = {0, 13, 10, -1, 42};
+    Map<String, String> fields = Client.fields(0x51, 1500, 3);
+    fields.put("known", "4be0c1927d55a6f3");
+    client.send(Client.request(7, "parts", fields, body));
+    Command want = cache.next();
+    assertEquals("want", want.word(0));
+    assertEquals("0000000000000051", want.word(1));
+    int left = Integer.parseInt(want.field("ms"));
+    assertTrue(left > 1000 && left <= 1500, want.word(2));
+    assertEquals("kind=parts,obj=" + StandIns.OBJECT + ",seg=3,miss=o0,prio=1,f=join,mine=4be0c1927d55a6f3",
+        want.word(2).replaceFirst("ms=\\d+,", ""));
+    assertArrayEquals(body, want.elements().get(3));
+    byte[] part = new byte[240_000];
+    part[100_000] = 7;
+    want.answer("ok", "res=f,entity=1,issued=2", part);
+    Answer answer = client.answer();
+    assertEquals(7, answer.number());
+    assertArrayEquals(part, answer.body());
+  }
+
+  @Test
+  void anAbsentFieldIsLeftOut() throws Exception {
+    client.get(1, "parts", 1500, 40);
+    Command want = cache.next();
+    assertNull(want.field("prio"));
+    assertNull(want.field("mine"));
+    assertNull(want.field("within"));
+  }
+
+  @Test
+  void answersComeInAnyOrderOnOneConnection() throws Exception {
+    client.get(1, "parts", 1500, 0).get(2, "parts", 1500, 1);
+    Command first = cache.next();
+    Command second = cache.next();
+    assertSame(first.from(), second.from());
+    second.ok("second");
+    assertEquals("second", text(client.answer()));
+    first.ok("first");
+    assertEquals("first", text(client.answer()));
+  }
+
+  @Test
+  void aRequestMayComeByteByByteAndTheNextWithItsEnd() throws Exception {
+    byte[] first = Client.request(1, "parts", Client.fields(1, 1500, 0), new byte[300]);
+    for (int at = 0; at < first.length - 1; at++) {
+      client.send(new byte[] {first[at]});
+    }
+    byte[] second = Client.request(2, "parts", Client.fields(2, 1500, 1), new byte[0]);
+    byte[] rest = new byte[second.length + 1];
+    rest[0] = first[first.length - 1];
+    System.arraycopy(second, 0, rest, 1, second.length);
+    client.send(rest);
+    cache.next().ok("first");
+    cache.next().ok("second");
+    assertEquals(List.of("first", "second"), List.of(text(client.answer()), text(client.answer())));
+  }
+
+  @Test
+  void theClientsOwnCopyIsToldToBeTheOne() throws Exception {
+    Map<String, String> fields = Client.fields(1, 1500, 0);
+    fields.put("known", "4be0c1927d55a6f3");
+    client.send(Client.request(1, "parts", fields, null));
+    cache.next().answer("current", "res=h,entity=4be0c1927d55a6f3", new byte[0]);
+    Answer answer = client.answer();
+    assertEquals(0, answer.body().length);
+    assertEquals("1", answer.fields().get("valid"));
+  }
+
+  // ---- How a forward ends.
+
+  @Test
+  void aWithdrawnGetIsGivenUpAndNotAnswered() throws Exception {
+    client.get(1, "parts", 1500, 0);
+    Command want = cache.next();
+    client.withdraw(1).withdraw(77);
+    assertEquals("never_mind", cache.next().word(0));
+    want.ok("too late");
+    assertEquals(9999, client.status().number());
+  }
+
+  @Test
+  void aClientThatIsGoneGivesUpItsGets() throws Exception {
+    client.get(1, "parts", 1500, 0);
+    cache.next();
+    client.close();
+    Command next = cache.next();
+    assertEquals("never_mind", next.word(0));
+    assertEquals("0000000000000001", next.word(1));
+  }
+
+  @Test
+  void aRefusedConnectionProvesThatNothingRan() throws Exception {
+    cache.close();
+    client.get(1, "orders", 1500, 0);
+    Answer answer = client.answer();
+    assertEquals("Overloaded", answer.error());
+    assertTrue(Integer.parseInt(answer.fields().get("cooldown")) > 0);
+  }
+
+  @Test
+  void aResetConnectionMayHaveRunIt() throws Exception {
+    client.get(1, "orders", 1500, 0);
+    cache.next().reset();
+    assertEquals("Internal", client.answer().error());
+  }
+
+  @ParameterizedTest
+  @CsvSource({"error, Internal", "refused, Overloaded", "stale, Overloaded"})
+  void eachAnswerWordIsItsOutcome(String word, String error) throws Exception {
+    client.get(1, "orders", 1500, 0);
+    cache.next().answer(word, "-", new byte[0]);
+    assertEquals(error, client.answer().error());
+  }
+
+  @Test
+  void silenceEndsWithOneAnswerInTimeAndTheForwardIsGivenUp() throws Exception {
+    long sentAt = System.nanoTime();
+    client.get(1, "parts", 300, 0);
+    Command want = cache.next();
+    assertEquals("Internal", client.answer().error());
+    long took = (System.nanoTime() - sentAt) / 1_000_000;
+    assertTrue(took >= 290 && took < 2000, took + " ms");
+    assertEquals("never_mind", cache.next().word(0));
+    want.ok("too late");
+    assertEquals(9999, client.status().number());
+  }
+
+  @Test
+  void aConnectionThatFellSilentTakesNothingNew() throws Exception {
+    client.get(1, "parts", 600, 0).get(2, "parts", 5000, 1);
+    Command silent = cache.next();
+    Command slow = cache.next();
+    assertEquals("Internal", client.answer().error());
+    cache.next();
+    client.get(3, "parts", 5000, 0);
+    Command fresh = cache.next();
+    assertNotEquals(silent.from(), fresh.from());
+    fresh.ok("fresh");
+    assertEquals("fresh", text(client.answer()));
+    slow.ok("slow, and not given up");
+    assertEquals("slow, and not given up", text(client.answer()));
+  }
+
+  @Test
+  void anUnreadableAnswerClosesThatConnectionAndMayHaveRun() throws Exception {
+    client.get(1, "orders", 1500, 0);
+    cache.next().from().getOutputStream().write("+PONG\r\n".getBytes(StandardCharsets.US_ASCII));
+    assertEquals("Internal", client.answer().error());
+    client.get(2, "orders", 1500, 0);
+    cache.next().ok("on another");
+    assertEquals("on another", text(client.answer()));
+  }
+
+  @Test
+  void anAnswerToWhatIsNotOpenIsDropped() throws Exception {
+    client.get(1, "parts", 1500, 0);
+    Command want = cache.next();
+    new Command(want.from(), List.of(new byte[0], "ffffffffffffffff".getBytes(StandardCharsets.US_ASCII))).ok("?");
+    want.ok("this");
+    want.ok("again");
+    assertEquals("this", text(client.answer()));
+    assertEquals(9999, client.status().number());
+  }
+
+  @Test
+  void twoForwardsOfOneGetNeverShareAConnection() throws Exception {
+    world.close();
+    world = new StandIns();
+    cache = world.cache();
+    world.journal.host("c0", cache.address(), "box", "ready");
+    GatewayOptions options = GatewayOptions.read(world.environment(folder));
+    Control control = new Control(options.site());
+    world.start(options, (now, in, to) -> control.round(now, events -> in.replay(new Ear(events) {
+      @Override public void get(long id, int ds, long object, int group, int part, long left, double kb, boolean w) {
+        to.forward(id, 0, now + left, 0, 0, 1, 0);
+        to.forward(id, 0, now + left, 0, 0, 2, 0);
+      }
+    }), to));
+    world.client().get(1, "parts", 1500, 0);
+    Command first = cache.next();
+    Command second = cache.next();
+    assertEquals(first.word(1), second.word(1));
+    assertNotEquals(first.from(), second.from());
+  }
+
+  // ---- Lists, drains and purges.
+
+  @Test
+  void aDrainedCacheGetsNothingNewNorASourceThatDrains() throws Exception {
+    Cache other = world.cache();
+    world.journal.host("o0", "127.0.0.1:1", "origin", "draining");
+    world.journal.host("c0", cache.address(), "box", "draining");
+    world.journal.host("c1", other.address(), "box", "ready");
+    String last = "tail=5&max_wait=2000";
+    for (String poll = ""; !last.equals(poll); poll = world.journal.polls.poll(10, TimeUnit.SECONDS)) {
+      assertNotNull(poll);
+    }
+    client.get(1, "parts", 1500, 0);
+    Command want = other.next();
+    assertNull(want.field("miss"));
+    assertTrue(cache.commands.isEmpty());
+  }
+
+  @Test
+  void aPurgeBoundsTheAgeOfWhatIsAskedForNext() throws Exception {
+    world.journal.add("\"expire\":{\"name\":\"" + StandIns.OBJECT + "\",\"stamp\":"
+        + (System.currentTimeMillis() - 200) + "}");
+    String within = null;
+    for (int number = 1; within == null; number++) {
+      client.get(number, "parts", 1500, 0);
+      Command want = cache.next();
+      within = want.field("within");
+      want.ok("x");
+      client.answer();
+    }
+    assertTrue(Long.parseLong(within) >= 198 && Long.parseLong(within) < 2000, within);
+  }
+
+  @Test
+  void aJournalThatFallsSilentOrTalksNonsenseIsAskedAgainAndTheListStays() throws Exception {
+    world.journal.instead = "{\"pos\":\"many\"}";
+    world.journal.add("\"expire\":{\"set\":3,\"stamp\":1}");
+    awaitPolls(3);
+    world.journal.instead = "";
+    awaitPolls(2);
+    client.get(1, "parts", 1500, 0);
+    cache.next().ok("still known");
+    assertEquals("still known", text(client.answer()));
+    world.journal.instead = null;
+    awaitPoll("tail=3&");
+  }
+
+  private void awaitPolls(int many) throws InterruptedException {
+    for (int poll = 0; poll < many; poll++) {
+      assertNotNull(world.journal.polls.poll(10, TimeUnit.SECONDS));
+    }
+  }
+
+  private void awaitPoll(String start) throws InterruptedException {
+    String poll = "";
+    while (!poll.startsWith(start)) {
+      poll = world.journal.polls.poll(10, TimeUnit.SECONDS);
+      assertNotNull(poll);
+    }
+  }
+
+  // ---- Bad input.
+
+  @ParameterizedTest
+  @ValueSource(strings = {"c1", "93", "9502c0c0c0c0", "940001a9", "c6ffffffff", "91919191919191", "93020000"})
+  void aClientThatCantBeReadLosesItsConnectionAndNoOther(String hex) throws Exception {
+    Client bad = world.client();
+    byte[] bytes = new byte[hex.length() / 2];
+    for (int at = 0; at < bytes.length; at++) {
+      bytes[at] = (byte) Integer.parseInt(hex.substring(2 * at, 2 * at + 2), 16);
+    }
+    bad.send(bytes);
+    byte[] many = new byte[300_000];
+    java.util.Arrays.fill(many, (byte) 0x91);
+    try {
+      bad.send(many);
+    } catch (java.io.IOException e) {
+      // Closed already.
+    }
+    assertTrue(bad.isClosed());
+    assertTrue(client.status().status());
+  }
+
+  @Test
+  void aNumberUsedTwiceWhileOpenClosesTheConnection() throws Exception {
+    client.get(1, "parts", 1500, 0);
+    cache.next();
+    client.get(1, "parts", 1500, 0);
+    assertTrue(client.isClosed());
+    assertEquals("never_mind", cache.next().word(0));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"lookup, 7f3", "lookup, 7f3a9c21e0b4d65z", "lookup,", "ref, 12", "chunk, -1", "chunk, x", "allow,",
+      "allow, NaN", "room, big", "tag, x", "known, '1,2'"})
+  void aFieldThatCantBeUsedIsNamed(String field, String value) throws Exception {
+    Map<String, String> fields = new HashMap<>(Client.fields(1, 1500, 0));
+    fields.remove(field);
+    if (value != null) {
+      fields.put(field, value);
+    }
+    client.send(Client.request(1, "parts", fields, null));
+    Answer answer = client.answer();
+    assertEquals("Internal", answer.error());
+    assertTrue(answer.fields().get("why").startsWith(field + ": "), answer.fields().toString());
+    client.get(1, "segments", 1500, 0);
+    assertEquals("no delivery service segments", client.answer().fields().get("why"));
+  }
+
+  @Test
+  void aClientThatDoesNotReadLosesItsConnectionAndNoOther() throws Exception {
+    Client deaf = world.client();
+    byte[] part = new byte[240_000];
+    world.threads.execute(() -> {
+      try {
+        while (true) {
+          cache.commands.take().answer("ok", "res=h", part);
+        }
+      } catch (Exception e) {
+        // The end of the test.
+      }
+    });
+    List<Integer> open = new ArrayList<>();
+    try {
+      for (int number = 1; number < 5000; number++) {
+        deaf.get(number, "parts", 1500, 0);
+        client.get(number, "parts", 1500, 0).answer();
+        open.add(number);
+      }
+    } catch (java.net.SocketException e) {
+      assertTrue(open.size() > 4);
+      assertTrue(client.status().status());
+      return;
+    }
+    assertFalse(true, "the deaf client still has its connection");
+  }
+
+  @Test
+  void moreOpenGetsThanToldAreShed() throws Exception {
+    for (int number = 1; number <= 48; number++) {
+      client.get(number, "parts", 5000, number);
+    }
+    client.get(49, "parts", 5000, 0);
+    for (Answer answer = client.answer(); answer.number() != 49; answer = client.answer()) {
+      assertNotNull(answer.error());
+    }
+  }
+
+  /** Decisions that fail on one object. */
+  @Test
+  void aFailureInTheDecisionsEndsThatGetAndNoOther() throws Exception {
+    world.close();
+    world = new StandIns();
+    cache = world.cache();
+    world.journal.host("c0", cache.address(), "box", "ready");
+    GatewayOptions options = GatewayOptions.read(world.environment(folder));
+    Control control = new Control(options.site());
+    world.start(options, (now, in, to) -> control.round(now, events -> in.replay(new Ear(events) {
+      @Override public void get(long id, int ds, long object, int group, int part, long left, double kb, boolean w) {
+        if (part == 13) {
+          throw new IllegalStateException("part 13");
+        }
+        super.get(id, ds, object, group, part, left, kb, w);
+      }
+    }), to));
+    client = world.client();
+    client.get(1, "parts", 1500, 13).get(2, "parts", 1500, 2);
+    assertEquals("Internal", client.answer().error());
+    cache.next().ok("another");
+    assertEquals("another", text(client.answer()));
+  }
+
+  // ---- Start and stop.
+
+  @Test
+  void aGatewayToldToStopAnswersAllItTookAndWhatStillComes() throws Exception {
+    client.get(1, "parts", 2500, 0);
+    Command taken = cache.next();
+    var stopped = world.gateway.stop().toCompletionStage().toCompletableFuture();
+    while (client.status().status()) {
+      assertFalse(stopped.isDone());
+    }
+    Client late = world.client();
+    late.get(2, "parts", 1500, 1);
+    cache.next().ok("came late");
+    assertEquals("came late", text(late.answer()));
+    taken.ok("was taken");
+    assertEquals("was taken", text(client.answer()));
+    stopped.get(10, TimeUnit.SECONDS);
+    assertEquals(Gateway.Phase.STOPPED, world.gateway.phase());
+    assertTrue(client.isClosed());
+  }
+
+  @Test
+  void whatIsStillOpenJustBeforeTheKillIsAnswered() throws Exception {
+    client.get(1, "parts", 9000, 0);
+    cache.next();
+    long since = System.nanoTime();
+    world.gateway.stop();
+    assertEquals("Internal", client.answer().error());
+    assertTrue(System.nanoTime() - since < 3_700_000_000L);
+  }
+
+  @Test
+  void theProgramEndsAfterTheWordToStopWithAllAnswered() throws Exception {
+    Map<String, String> environment = new HashMap<>(world.environment(folder));
+    int port = freePort();
+    environment.put("PROXY_LISTEN", "127.0.0.1:" + port);
+    ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        "-cp", System.getProperty("java.class.path"), "amberpath.Main", "serve").redirectErrorStream(true);
+    builder.environment().putAll(environment);
+    Process process = builder.start();
+    try (BufferedReader log = process.inputReader()) {
+      for (String line = ""; !line.contains("-> SERVING"); line = log.readLine()) {
+        assertNotNull(line);
+      }
+      Client outside = world.client(port);
+      assertTrue(outside.status().status());
+      outside.get(1, "parts", 2500, 0);
+      Command want = cache.next();
+      process.destroy();
+      while (outside.status().status()) {
+        assertTrue(process.isAlive());
+      }
+      want.ok("before the end");
+      assertEquals("before the end", text(outside.answer()));
+      assertTrue(process.waitFor(10, TimeUnit.SECONDS));
+    } finally {
+      process.destroyForcibly();
+    }
+  }
+
+  private static int freePort() throws Exception {
+    try (java.net.ServerSocket socket = new java.net.ServerSocket(0, 1, StandIns.LOOPBACK)) {
+      return socket.getLocalPort();
+    }
+  }
+
+  /** Passes on what it is told, if to anybody. */
+  private static class Ear implements Arrivals.Events {
+    private final Arrivals.Events to;
+
+    Ear(Arrivals.Events to) {
+      this.to = to;
+    }
+
+    @Override public void listing(Arrivals.Listing what) {
+      to.listing(what);
+    }
+
+    @Override public void member(int cache, String id, String zone, String kind, int cell, Arrivals.State state,
+        double weight, long startedAt) {
+      to.member(cache, id, zone, kind, cell, state, weight, startedAt);
+    }
+
+    @Override public void listed() {
+      to.listed();
+    }
+
+    @Override public void get(long id, int ds, long object, int group, int part, long timeLeft, double kb,
+        boolean write) {
+      to.get(id, ds, object, group, part, timeLeft, kb, write);
+    }
+
+    @Override public void begun(long id, int copy) {
+      to.begun(id, copy);
+    }
+
+    @Override public void ended(long id, int copy, int cache, Arrivals.Outcome outcome, long took, boolean settled,
+        Arrivals.Note note) {
+      to.ended(id, copy, cache, outcome, took, settled, note);
+    }
+
+    @Override public void left(long id) {
+      to.left(id);
+    }
+
+    @Override public void purged(long object, int group, long ago) {
+      to.purged(object, group, ago);
+    }
+
+    @Override public void woken(String handle) {
+      to.woken(handle);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/amberpath/gateway/StandIns.java
@@ -0,0 +1,355 @@
+package amberpath.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/** Clients, caches and the journal service, as the protocol has them, round one gateway on loopback. */
+final class StandIns implements AutoCloseable {
+  static final String OBJECT = "7f3a9c21e0b4d655";
+  static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
+  static final long PATIENCE_S = 10;
+  private static final String SETTINGS = """
+      {"my-zone":"z","zones":["z"],"kinds":["box","parent","origin"],"replicas-of-me":1,"weights":"nominal",
+      "classes":[{"name":"parts","idempotency":"repeatable","target-s":0.4,"points":2},
+      {"name":"orders","idempotency":"once","target-s":0.4}],
+      "bounds":{"max-attempts":3,"cancel":true,"second-copies":true,"retry-after":true,"max-retry-after-s":1,
+      "connect-timeout-s":0.4,"conn-idle-s":30,"multiplex":100,"max-open":48},
+      "family-info":{"mid-kind":1,"store-kind":2,"flow-kb-per-s":1000,"collapses":true,"bypass-allowed":true,
+      "purge-takes-s":6,"class-fresh-s":[0,0]},
+      "guarantees":{"cold-share":0.2,"cold-s":10,"fall-multiple":3,"fall-s":1}}""";
+
+  final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+  final ExecutorService threads = Executors.newCachedThreadPool();
+  final Journal journal = new Journal();
+  private final List<AutoCloseable> open = new ArrayList<>();
+  Gateway gateway;
+
+  StandIns() throws IOException {
+  }
+
+  /** A gateway that knows one edge cache and the origin; both listen. */
+  Cache start(Path folder) throws Exception {
+    Cache cache = cache();
+    journal.host("c0", cache.address(), "box", "ready");
+    journal.host("o0", cache().address(), "origin", "ready");
+    start(GatewayOptions.read(environment(folder)), null);
+    return cache;
+  }
+
+  void start(GatewayOptions options, Route.Rounds decisions) throws Exception {
+    gateway = decisions == null ? new Gateway(vertx, options) : new Gateway(vertx, options, decisions);
+    gateway.start().toCompletionStage().toCompletableFuture().get(PATIENCE_S, TimeUnit.SECONDS);
+  }
+
+  /** The environment of a gateway that is told of what the journal holds now. */
+  Map<String, String> environment(Path folder) throws IOException {
+    Path file = folder.resolve("config.json");
+    Files.writeString(file, "{\"name\":\"n1\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"memory_mb\":64},"
+        + "\"listen\":\"127.0.0.1:0\",\"journal\":\"" + journal.address() + "\",\"known\":" + journal.since(0)
+        + ",\"settings\":" + SETTINGS + "}");
+    return Map.of("PROXY_CONFIG", file.toString());
+  }
+
+  Cache cache() throws IOException {
+    Cache cache = new Cache();
+    open.add(cache);
+    return cache;
+  }
+
+  Client client() throws IOException {
+    return client(gateway.port());
+  }
+
+  Client client(int port) throws IOException {
+    Client client = new Client(port);
+    open.add(client);
+    return client;
+  }
+
+  @Override public void close() throws Exception {
+    for (AutoCloseable one : open) {
+      one.close();
+    }
+    journal.server.stop(0);
+    threads.shutdownNow();
+    vertx.close().toCompletionStage().toCompletableFuture().get(PATIENCE_S, TimeUnit.SECONDS);
+  }
+
+  /** What a client got for one request: an error's code, or the body. */
+  record Answer(long number, String error, byte[] body, boolean status, Map<String, String> fields) {
+  }
+
+  static final class Client implements AutoCloseable {
+    final Socket socket;
+    private final MessageUnpacker in;
+
+    Client(int port) throws IOException {
+      socket = new Socket(LOOPBACK, port);
+      socket.setTcpNoDelay(true);
+      socket.setSoTimeout((int) PATIENCE_S * 1000);
+      in = MessagePack.newDefaultUnpacker(socket.getInputStream());
+    }
+
+    static Map<String, String> fields(int ref, long allowMs, int part) {
+      Map<String, String> fields = new LinkedHashMap<>(Map.of("ref", String.format("%016x", ref), "lookup", OBJECT,
+          "allow", Long.toString(allowMs), "chunk", Integer.toString(part), "tag", "17", "room", "412.5"));
+      return fields;
+    }
+
+    static byte[] request(long number, String method, Map<String, String> fields, byte[] body) throws IOException {
+      MessageBufferPacker packer = MessagePack.newDefaultBufferPacker();
+      packer.packArrayHeader(4).packInt(0).packLong(number).packString(method).packArrayHeader(body == null ? 1 : 2)
+          .packMapHeader(fields.size());
+      for (Map.Entry<String, String> field : fields.entrySet()) {
+        packer.packString(field.getKey()).packString(field.getValue());
+      }
+      if (body != null) {
+        packer.packBinaryHeader(body.length).writePayload(body);
+      }
+      return packer.toByteArray();
+    }
+
+    Client send(byte[] bytes) throws IOException {
+      socket.getOutputStream().write(bytes);
+      return this;
+    }
+
+    Client get(int number, String method, long allowMs, int part) throws IOException {
+      return send(request(number, method, fields(number, allowMs, part), new byte[0]));
+    }
+
+    Client withdraw(int number) throws IOException {
+      MessageBufferPacker packer = MessagePack.newDefaultBufferPacker();
+      packer.packArrayHeader(3).packInt(2).packString("withdraw").packArrayHeader(1).packInt(number);
+      return send(packer.toByteArray());
+    }
+
+    Answer status() throws IOException {
+      return send(request(9999, "status", Map.of(), null)).answer();
+    }
+
+    Answer answer() throws IOException {
+      in.unpackArrayHeader();
+      in.unpackInt();
+      long number = in.unpackLong();
+      String error = null;
+      byte[] body = null;
+      boolean status = false;
+      Map<String, String> fields = Map.of();
+      if (in.tryUnpackNil()) {
+        in.unpackArrayHeader();
+        if (in.getNextFormat().getValueType().isBooleanType()) {
+          status = in.unpackBoolean();
+        } else {
+          body = in.readPayload(in.unpackBinaryHeader());
+        }
+        fields = map();
+      } else {
+        in.unpackArrayHeader();
+        error = in.unpackString();
+        fields = map();
+        in.unpackNil();
+      }
+      return new Answer(number, error, body, status, fields);
+    }
+
+    private Map<String, String> map() throws IOException {
+      Map<String, String> fields = new LinkedHashMap<>();
+      for (int left = in.unpackMapHeader(); left > 0; left--) {
+        fields.put(in.unpackString(), in.unpackString());
+      }
+      return fields;
+    }
+
+    /** Whether the gateway closed the connection, with nothing more on it. */
+    boolean isClosed() throws IOException {
+      try {
+        return !in.hasNext();
+      } catch (java.net.SocketException e) {
+        return true;
+      }
+    }
+
+    @Override public void close() throws IOException {
+      socket.close();
+    }
+  }
+
+  /** What came to a cache on one connection. */
+  record Command(Socket from, List<byte[]> elements) {
+    String word(int place) {
+      return new String(elements.get(place), StandardCharsets.ISO_8859_1);
+    }
+
+    String field(String name) {
+      for (String field : word(2).split(",")) {
+        if (field.startsWith(name + "=")) {
+          return field.substring(name.length() + 1);
+        }
+      }
+      return null;
+    }
+
+    void answer(String word, String fields, byte[] body) throws IOException {
+      ByteArrayOutputStream out = new ByteArrayOutputStream();
+      out.writeBytes("*4\r\n".getBytes(StandardCharsets.ISO_8859_1));
+      for (byte[] one : List.of(elements.get(1), word.getBytes(StandardCharsets.ISO_8859_1),
+          fields.getBytes(StandardCharsets.ISO_8859_1), body)) {
+        out.writeBytes(("$" + one.length + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+        out.writeBytes(one);
+        out.writeBytes("\r\n".getBytes(StandardCharsets.ISO_8859_1));
+      }
+      from.getOutputStream().write(out.toByteArray());
+    }
+
+    void ok(String text) throws IOException {
+      answer("ok", "res=h,entity=4be0c1927d55a6f3,issued=1764576000123", text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    void reset() throws IOException {
+      from.setSoLinger(true, 0);
+      from.close();
+    }
+  }
+
+  final class Cache implements AutoCloseable {
+    final ServerSocket server = new ServerSocket(0, 50, LOOPBACK);
+    final BlockingQueue<Command> commands = new LinkedBlockingQueue<>();
+
+    Cache() throws IOException {
+      threads.execute(() -> {
+        try {
+          while (true) {
+            Socket socket = server.accept();
+            threads.execute(() -> read(socket));
+          }
+        } catch (IOException e) {
+          // Closed.
+        }
+      });
+    }
+
+    String address() {
+      return "127.0.0.1:" + server.getLocalPort();
+    }
+
+    private void read(Socket socket) {
+      try (DataInputStream in = new DataInputStream(socket.getInputStream())) {
+        while (true) {
+          List<byte[]> elements = new ArrayList<>();
+          for (int left = length(in); left > 0; left--) {
+            elements.add(in.readNBytes(length(in)));
+            in.readNBytes(2);
+          }
+          commands.add(new Command(socket, elements));
+        }
+      } catch (IOException | NumberFormatException e) {
+        // The connection is gone.
+      }
+    }
+
+    private int length(DataInputStream in) throws IOException {
+      StringBuilder line = new StringBuilder();
+      for (int one = in.readUnsignedByte(); one != '\n'; one = in.readUnsignedByte()) {
+        line.append((char) one);
+      }
+      return Integer.parseInt(line.substring(1).trim());
+    }
+
+    /** The next command; fails the test when none comes. */
+    Command next() throws InterruptedException {
+      Command next = commands.poll(PATIENCE_S, TimeUnit.SECONDS);
+      assertNotNull(next, "nothing came to the cache");
+      return next;
+    }
+
+    @Override public void close() throws IOException {
+      server.close();
+    }
+  }
+
+  /** Long poll over HTTP: a reply comes when there is more, or after the wait. */
+  final class Journal {
+    final HttpServer server = HttpServer.create(new InetSocketAddress(LOOPBACK, 0), 0);
+    final BlockingQueue<String> polls = new LinkedBlockingQueue<>();
+    private final List<String> entries = new ArrayList<>();
+    /** What replies are instead, while it is set: an empty one never comes. */
+    volatile String instead;
+
+    Journal() throws IOException {
+      server.createContext("/journal", this::answer);
+      server.setExecutor(threads);
+      server.start();
+    }
+
+    String address() {
+      return "127.0.0.1:" + server.getAddress().getPort();
+    }
+
+    synchronized String since(int tail) {
+      return "{\"pos\":" + entries.size() + ",\"entries\":["
+          + String.join(",", entries.subList(Math.min(tail, entries.size()), entries.size())) + "]}";
+    }
+
+    synchronized void add(String event) {
+      entries.add("{\"pos\":" + (entries.size() + 1) + "," + event + "}");
+      notifyAll();
+    }
+
+    void host(String id, String address, String kind, String state) {
+      add("\"hosts\":{\"generation\":1,\"reset\":false,\"instances\":[{\"instanceId\":\"" + id + "\",\"hostPort\":\""
+          + address + "\",\"zone\":\"z\",\"machineType\":\"" + kind + "\",\"cell\":0,\"lifecycle\":\"" + state
+          + "\",\"weight\":4,\"startedAtMs\":0}]}");
+    }
+
+    private void answer(HttpExchange exchange) throws IOException {
+      String query = exchange.getRequestURI().getQuery();
+      polls.add(query);
+      int tail = Integer.parseInt(query.replaceAll(".*tail=(\\d+).*", "$1"));
+      long until = System.nanoTime() + Long.parseLong(query.replaceAll(".*max_wait=(\\d+).*", "$1")) * 1_000_000;
+      String reply = instead;
+      try {
+        synchronized (this) {
+          while (reply == null && entries.size() <= tail && System.nanoTime() < until || "".equals(reply)) {
+            wait(20);
+            reply = instead;
+          }
+        }
+      } catch (InterruptedException e) {
+        return;
+      }
+      byte[] bytes = (reply == null ? since(tail) : reply).getBytes(StandardCharsets.UTF_8);
+      exchange.sendResponseHeaders(200, bytes.length);
+      try (OutputStream out = exchange.getResponseBody()) {
+        out.write(bytes);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/amberpath/msgpack/MessageReaderTest.java
@@ -0,0 +1,92 @@
+package amberpath.msgpack;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.buffer.Buffer;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HexFormat;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.msgpack.core.MessagePack;
+
+/** MessagePack from clients: every width, cut anywhere. */
+class MessageReaderTest implements MessageReader.Sink {
+  private final List<byte[]> messages = new ArrayList<>();
+  private final List<String> unreadable = new ArrayList<>();
+  private final MessageReader reader = new MessageReader(5000, this);
+
+  @Override public boolean message(byte[] bytes, int start, int end) {
+    messages.add(Arrays.copyOfRange(bytes, start, end));
+    return true;
+  }
+
+  @Override public void unreadable(String why) {
+    unreadable.add(why);
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 3, 7, 64, 4000})
+  void messagesComeWholeHoweverTheyAreCut(int size) {
+    byte[] all = HexFormat.of().parseHex("9301a3" + "616263" + "c4020d0a" + "94000793c0c2c380" + "c0" + "dd00000002a0c400");
+    for (int at = 0; at < all.length; at += size) {
+      reader.handle(Buffer.buffer(Arrays.copyOfRange(all, at, Math.min(all.length, at + size))));
+    }
+    assertEquals(List.of(10, 8, 1, 8), messages.stream().map(one -> one.length).toList());
+    ByteArrayOutputStream joined = new ByteArrayOutputStream();
+    messages.forEach(joined::writeBytes);
+    assertArrayEquals(all, joined.toByteArray());
+  }
+
+  @ParameterizedTest
+  @CsvSource({"d9, c4, 81", "da00, c500, de0001", "db000000, c6000000, df00000001"})
+  void everyWidthOfAStringABinAndAMapIsRead(String string, String bin, String map) throws Exception {
+    String fields = map.substring(0, map.length() - 1) + "6";
+    StringBuilder hex = new StringBuilder(fields);
+    for (String[] field : new String[][] {{"ref", "9b1f03aa5c7e2d41"}, {"allow", "1500"}, {"tag", "17"},
+        {"lookup", "ffffffffffffffff"}, {"chunk", "3"}, {"room", "412.5"}}) {
+      for (String text : field) {
+        hex.append(string).append(String.format("%02x", text.length()));
+        hex.append(HexFormat.of().formatHex(text.getBytes(StandardCharsets.US_ASCII)));
+      }
+    }
+    byte[] bytes = HexFormat.of().parseHex(hex + bin + "020d0a");
+    ClientGet get = RequestFields.read("parts", MessagePack.newDefaultUnpacker(bytes), true);
+    assertEquals(-1, get.objectId());
+    assertEquals(List.of(3, 17, 1_500_000_000L, 412.5), List.of(get.partNumber(), get.group(), get.allow(), get.kb()));
+    assertArrayEquals(new byte[] {13, 10}, get.body());
+  }
+
+  @Test
+  void aMessageLongerThanAnyClientSendsIsNotWaitedFor() {
+    reader.handle(Buffer.buffer(HexFormat.of().parseHex("c67fffffff")).appendBytes(new byte[4990]));
+    assertTrue(unreadable.isEmpty());
+    reader.handle(Buffer.buffer(new byte[6]));
+    assertEquals(List.of("message longer than 5000 bytes"), unreadable);
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"91", "8100", "dd7fffffff", "df7fffffff"})
+  void nestingAndManyValuesAreNotFollowedForEver(String part) {
+    for (int at = 0; at < 600; at++) {
+      reader.handle(Buffer.buffer(HexFormat.of().parseHex(part)));
+    }
+    assertEquals(List.of("message of more than 512 values"), unreadable);
+  }
+
+  @Test
+  void nothingIsReadAfterSomethingUnreadable() throws IOException {
+    reader.handle(Buffer.buffer(HexFormat.of().parseHex("c1")));
+    reader.handle(Buffer.buffer(HexFormat.of().parseHex("c0")));
+    assertEquals(1, unreadable.size());
+    assertTrue(messages.isEmpty());
+  }
+}
--- /dev/null
+++ b/src/test/java/amberpath/resp/ReplyReaderTest.java
@@ -0,0 +1,85 @@
+package amberpath.resp;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import amberpath.Arrivals.Note;
+import amberpath.Arrivals.Outcome;
+import io.vertx.core.Promise;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetSocket;
+import io.vertx.core.net.SocketAddress;
+import java.lang.reflect.Proxy;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** RESP from caches, and what waits for a connection to one. */
+class ReplyReaderTest implements ReplyReader.Sink {
+  private final List<String> replies = new ArrayList<>();
+  private final List<String> unreadable = new ArrayList<>();
+  private final List<Outcome> outcomes = new ArrayList<>();
+  private final ReplyReader reader = new ReplyReader(100, this);
+
+  @Override public void reply(List<Buffer> elements) {
+    replies.add(String.join("|", elements.stream().map(one -> one.toString(StandardCharsets.ISO_8859_1)).toList()));
+  }
+
+  @Override public void unreadable(String why) {
+    unreadable.add(why);
+  }
+
+  private void read(String text, int size) {
+    byte[] all = text.getBytes(StandardCharsets.ISO_8859_1);
+    for (int at = 0; at < all.length; at += size) {
+      reader.handle(Buffer.buffer(Arrays.copyOfRange(all, at, Math.min(all.length, at + size))));
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 3, 5, 1000})
+  void repliesComeWholeHoweverTheyAreCut(int size) {
+    read("*4\r\n$2\r\nid\r\n$2\r\nok\r\n$5\r\nres=h\r\n$7\r\na\r\n$0\r\n\r\n*2\r\n$2\r\nid\r\n$0\r\n\r\n", size);
+    assertEquals(List.of("id|ok|res=h|a\r\n$0\r\n", "id|"), replies);
+    assertTrue(unreadable.isEmpty());
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"+OK\r\n", "*0\r\n", "*-1\r\n", "*99\r\n", "*x\r\n", "*1\r\n$101\r\n", "*1\r\n$-1\r\n",
+      "*1\r\n:1\r\n", "*1\r\n$1\r\nabc", "*"})
+  void whatIsNoArrayOfBulkStringsIsUnreadable(String text) {
+    read(text + (text.equals("*") ? "1".repeat(200) : "") , 3);
+    read("*1\r\n$2\r\nok\r\n", 100);
+    assertEquals(1, unreadable.size());
+    assertTrue(replies.isEmpty());
+  }
+
+  private Want want() {
+    return new Want(new byte[16], new byte[0], new byte[0], 2_000_000_000L, List.of()) {
+      @Override protected void ended(Outcome outcome, Note note, Buffer body) {
+        outcomes.add(outcome);
+      }
+    };
+  }
+
+  @Test
+  void whatWaitsForAConnectionWhenItsCacheDrainsIsNeverSent() {
+    Promise<NetSocket> connection = Promise.promise();
+    NetClient client = (NetClient) Proxy.newProxyInstance(getClass().getClassLoader(),
+        new Class<?>[] {NetClient.class}, (proxy, method, arguments) -> connection.future());
+    CachePool pool = new CachePool("c0", SocketAddress.inetSocketAddress(1, "127.0.0.1"), client,
+        new CachePool.Bounds(4, 100, 1, 1, 100), () -> 0);
+    Want drained = want();
+    pool.send(drained);
+    pool.send(want());
+    pool.fail(one -> one == drained, Outcome.NOT_SENT);
+    assertEquals(List.of(Outcome.NOT_SENT), outcomes);
+    connection.fail("refused");
+    assertEquals(List.of(Outcome.NOT_SENT, Outcome.NO_CONNECTION), outcomes);
+  }
+}
