--- a/src/main/java/amberpath/gateway/Gateway.java
+++ b/src/main/java/amberpath/gateway/Gateway.java
@@ -83,6 +83,7 @@
         journal.start();
         vertx.setPeriodic(SWEEP_MS, sweep -> caches.sweep());
         enter(Phase.SERVING);
+        LOG.info(options.name() + ": listens at " + options.listen().hostAddress() + ":" + port());
         started.complete(this);
       });
     });
--- a/src/main/java/amberpath/gateway/Send.java
+++ b/src/main/java/amberpath/gateway/Send.java
@@ -2,7 +2,6 @@
 
 import amberpath.Arrivals.Note;
 import amberpath.Arrivals.Outcome;
-import amberpath.Decisions;
 import amberpath.resp.CachePool;
 import amberpath.resp.Want;
 import io.vertx.core.Vertx;
--- a/src/test/java/amberpath/gateway/GatewayTest.java
+++ b/src/test/java/amberpath/gateway/GatewayTest.java
@@ -16,7 +16,6 @@
 import amberpath.gateway.StandIns.Client;
 import amberpath.gateway.StandIns.Command;
 import java.io.BufferedReader;
-import java.io.InputStreamReader;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
--- a/src/test/java/amberpath/msgpack/MessageReaderTest.java
+++ b/src/test/java/amberpath/msgpack/MessageReaderTest.java
@@ -36,7 +36,8 @@
   @ParameterizedTest
   @ValueSource(ints = {1, 2, 3, 7, 64, 4000})
   void messagesComeWholeHoweverTheyAreCut(int size) {
-    byte[] all = HexFormat.of().parseHex("9301a3" + "616263" + "c4020d0a" + "94000793c0c2c380" + "c0" + "dd00000002a0c400");
+    byte[] all = HexFormat.of().parseHex("9301a3616263c4020d0a" + "94000793c0c2c380" + "c0"
+        + "dd00000002a0c400");
     for (int at = 0; at < all.length; at += size) {
       reader.handle(Buffer.buffer(Arrays.copyOfRange(all, at, Math.min(all.length, at + size))));
     }
