A GET stays in the book until the decisions have heard all of it

Seen by a story (getsWithdrawnInTheSameTurn...): a GET withdrawn in the turn in which it came was forgotten before the round, its forward got no outcome, and the decisions counted it as out at that cache for ever (Book.close, Route.forward). Ruled out that the cache's answers did it: it got none of them. Now an event on its way keeps the GET in the book.

--- a/src/main/java/amberpath/gateway/Book.java
+++ b/src/main/java/amberpath/gateway/Book.java
@@ -55,8 +55,9 @@
     close(get);
   }
 
+  /** Guards against decisions on a GET that was forgotten: it stays until they have heard all of it. */
   void close(OpenGet get) {
-    if (get.answered && get.out == 0) {
+    if (get.answered && get.out == 0 && get.events == 0) {
       gets.remove(get.id);
     }
   }
--- a/src/main/java/amberpath/gateway/Caches.java
+++ b/src/main/java/amberpath/gateway/Caches.java
@@ -36,6 +36,7 @@
   private final List<Entry> entries = new ArrayList<>();
   private final List<Consumer<Events>> list = new ArrayList<>();
   private Route route;
+  private boolean told;
 
   Caches(Vertx vertx, GatewayOptions options, Clock clock) {
     this.options = options;
@@ -90,7 +91,13 @@
         startedAtMs == 0 ? 0 : clock.now() - clock.since(startedAtMs)));
   }
 
+  /** Whether a list has come: before that nothing can be decided. */
+  boolean told() {
+    return told;
+  }
+
   @Override public void listed() {
+    told = true;
     List<Consumer<Events>> news = List.copyOf(list);
     route.arrived(null, to -> {
       news.forEach(one -> one.accept(to));
--- a/src/main/java/amberpath/gateway/Gateway.java
+++ b/src/main/java/amberpath/gateway/Gateway.java
@@ -4,11 +4,13 @@
 import amberpath.journal.Entries;
 import amberpath.journal.JournalClient;
 import amberpath.msgpack.ClientConnection;
+import amberpath.msgpack.Unread;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
+import java.util.concurrent.TimeUnit;
 import java.util.logging.Logger;
 
 /** One gateway, from start to exit. All of it runs on one event loop. */
@@ -18,7 +20,8 @@
 
   private static final Logger LOG = Logger.getLogger(Gateway.class.getName());
   /** How long connections and requests come after the word to stop, and when the kill may come. */
-  private static final long STILL_COMING_MS = 750, LAST_ANSWERS_MS = 3500, CHECK_MS = 20, SWEEP_MS = 1000;
+  private static final long STILL_COMING_MS = 750, LAST_ANSWERS_MS = 3500, CHECK_MS = 20, FLUSH_MS = 100,
+      SWEEP_MS = 1000;
 
   private final Vertx vertx;
   private final GatewayOptions options;
@@ -49,7 +52,7 @@
     send.endingsTo(route);
     caches.newsTo(route);
     Admit admit = new Admit(options.site(), options.mostOpen(), book, route);
-    takeIn = new TakeIn(clock, book, admit, route, relay, () -> phase == Phase.SERVING);
+    takeIn = new TakeIn(clock, book, admit, route, relay, () -> phase == Phase.SERVING && caches.told());
     journal = new JournalClient(vertx, options.journal(), entries, caches, JournalClient.WAIT_MS);
   }
 
@@ -69,8 +72,8 @@
       enter(Phase.STARTING);
       entries.play(options.known(), caches);
       server = vertx.createNetServer(new NetServerOptions().setAcceptBacklog(1024));
-      server.connectHandler(socket -> takeIn.clients.add(
-          new ClientConnection(socket, options.clientQueue(), takeIn)));
+      Unread queues = new Unread(options.unreadOfOne(), options.unreadOfAll());
+      server.connectHandler(socket -> new ClientConnection(socket, queues, takeIn));
       server.listen(options.listen()).onComplete(listening -> {
         if (listening.failed()) {
           started.fail(listening.cause());
@@ -124,6 +127,8 @@
     enter(Phase.STOPPED);
     journal.close();
     caches.close();
-    (server == null ? Future.succeededFuture() : server.close()).onComplete(closed -> stopped.complete());
+    // A client that does not read keeps nobody waiting.
+    (server == null ? Future.<Void>succeededFuture() : server.close()).timeout(FLUSH_MS, TimeUnit.MILLISECONDS)
+        .onComplete(closed -> stopped.complete());
   }
 }
--- a/src/main/java/amberpath/gateway/GatewayOptions.java
+++ b/src/main/java/amberpath/gateway/GatewayOptions.java
@@ -147,8 +147,12 @@
     return Math.max(1, Math.min(MOST_TO_CACHE, left / Math.max(1, caches)));
   }
 
-  /** What one client may leave unread. */
-  public int clientQueue() {
-    return (int) Math.min(Integer.MAX_VALUE, memory / 48);
+  /** What one client may leave unread, and all together. */
+  public long unreadOfOne() {
+    return memory / 48;
+  }
+
+  public long unreadOfAll() {
+    return memory / 12;
   }
 }
--- a/src/main/java/amberpath/gateway/OpenGet.java
+++ b/src/main/java/amberpath/gateway/OpenGet.java
@@ -14,7 +14,8 @@
   final int ds;
   final long due;
   final List<Send.Sent> forwards = new ArrayList<>(1);
-  int out;
+  /** Forwards out, and events on the way to the decisions. */
+  int out, events;
   boolean answered;
   long backstop = -1;
 
--- a/src/main/java/amberpath/gateway/Route.java
+++ b/src/main/java/amberpath/gateway/Route.java
@@ -57,6 +57,9 @@
       vertx.runOnContext(turn -> round());
     }
     arrivals.add(new Arrival(get, event));
+    if (get != null) {
+      get.events++;
+    }
   }
 
   private void round() {
@@ -79,6 +82,11 @@
         if (arrival.get != null && arrival.get.out == 0) {
           relay.errored(arrival.get, "internal error");
         }
+      } finally {
+        if (arrival.get != null) {
+          arrival.get.events--;
+          book.close(arrival.get);
+        }
       }
     }
   }
--- a/src/main/java/amberpath/gateway/TakeIn.java
+++ b/src/main/java/amberpath/gateway/TakeIn.java
@@ -3,9 +3,7 @@
 import amberpath.msgpack.ClientConnection;
 import amberpath.msgpack.ClientGet;
 import amberpath.msgpack.ClientHandler;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.function.BooleanSupplier;
 
 /** First stage: what clients say, with the time at which it had come whole. */
@@ -16,7 +14,6 @@
   private final Route route;
   private final Relay relay;
   private final BooleanSupplier ready;
-  final Set<ClientConnection> clients = new HashSet<>();
 
   TakeIn(Clock clock, Book book, Admit admit, Route route, Relay relay, BooleanSupplier ready) {
     this.clock = clock;
@@ -40,7 +37,6 @@
   }
 
   @Override public void closed(ClientConnection from) {
-    clients.remove(from);
     List.copyOf(book.unanswered(from)).forEach(this::left);
   }
 
--- a/src/main/java/amberpath/msgpack/ClientConnection.java
+++ b/src/main/java/amberpath/msgpack/ClientConnection.java
@@ -26,12 +26,14 @@
   private final NetSocket socket;
   private final ClientHandler handler;
   private final Set<Long> open = new HashSet<>();
+  private final Unread queues;
+  long unread;
   private boolean closed;
 
-  public ClientConnection(NetSocket socket, int longestQueue, ClientHandler handler) {
+  public ClientConnection(NetSocket socket, Unread queues, ClientHandler handler) {
     this.socket = socket;
+    this.queues = queues;
     this.handler = handler;
-    socket.setWriteQueueMaxSize(longestQueue);
     socket.handler(new MessageReader(LONGEST, this));
     socket.exceptionHandler(e -> LOG.fine(() -> "client " + socket.remoteAddress() + ": " + e));
     socket.closeHandler(v -> gone());
@@ -151,24 +153,15 @@
     }
   }
 
-  /** Guards against a client that does not read: it fills its own queue, then loses its connection. */
   private void send(Buffer... answer) {
-    if (closed) {
-      return;
-    }
-    if (socket.writeQueueFull()) {
-      unreadable("reads too slowly");
-      return;
-    }
     for (Buffer bytes : answer) {
-      socket.write(bytes);
+      if (!closed) {
+        socket.write(bytes).onComplete(done -> queues.read(this, bytes.length()));
+        queues.add(this, bytes.length());
+      }
     }
   }
 
-  public boolean idle() {
-    return open.isEmpty();
-  }
-
   public void close() {
     // Guards against a peer that does not read: a plain close would wait until it has.
     ((NetSocketInternal) socket).channelHandlerContext().close();
--- a/src/test/java/amberpath/gateway/GatewayTest.java
+++ b/src/test/java/amberpath/gateway/GatewayTest.java
@@ -16,7 +16,9 @@
 import amberpath.gateway.StandIns.Client;
 import amberpath.gateway.StandIns.Command;
 import java.io.BufferedReader;
+import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -141,6 +143,21 @@
     assertEquals(9999, client.status().number());
   }
 
+  @Test
+  void getsWithdrawnInTheSameTurnLeaveNothingBehind() throws Exception {
+    for (int number = 1; number <= 200; number++) {
+      ByteArrayOutputStream both = new ByteArrayOutputStream();
+      both.writeBytes(Client.request(number, "parts", Client.fields(number, 1500, 0), new byte[0]));
+      both.writeBytes(Client.withdrawal(number));
+      client.send(both.toByteArray()).status();
+    }
+    client.get(1000, "parts", 1500, 0);
+    Command want = cache.next();
+    assertEquals(String.format("%016x", 1000), want.word(1));
+    want.ok("there is room");
+    assertEquals("there is room", text(client.answer()));
+  }
+
   @Test
   void aClientThatIsGoneGivesUpItsGets() throws Exception {
     client.get(1, "parts", 1500, 0);
@@ -264,6 +281,29 @@
     assertTrue(cache.commands.isEmpty());
   }
 
+  @Test
+  void whatWaitsForAConnectionGoesElsewhereWhenItsCacheOrSourceDrains() throws Exception {
+    for (String drained : List.of("c0", "o0")) {
+      world.close();
+      world = new StandIns();
+      Cache origin = world.cache();
+      world.journal.host("c0", world.fullAddress(), "box", "ready");
+      world.journal.host("o0", origin.address(), "origin", "ready");
+      Map<String, String> environment = world.environment(folder);
+      Path file = Path.of(environment.get("PROXY_CONFIG"));
+      Files.writeString(file, Files.readString(file).replace("\"connect-timeout-s\":0.4", "\"connect-timeout-s\":9"));
+      world.start(GatewayOptions.read(environment), null);
+      client = world.client();
+      client.get(1, "orders", 3000, 0);
+      client.status();
+      cache = world.cache();
+      world.journal.host("c1", cache.address(), "box", "ready");
+      world.journal.host(drained, "127.0.0.1:1", drained.equals("c0") ? "box" : "origin", "draining");
+      cache.next().ok("elsewhere");
+      assertEquals("elsewhere", text(client.answer()));
+    }
+  }
+
   @Test
   void aPurgeBoundsTheAgeOfWhatIsAskedForNext() throws Exception {
     world.journal.add("\"expire\":{\"name\":\"" + StandIns.OBJECT + "\",\"stamp\":"
@@ -293,6 +333,33 @@
     awaitPoll("tail=3&");
   }
 
+  @Test
+  void aWholeListReplacesTheOldOneAndAnAddressBelongsToTheNewCache() throws Exception {
+    client.get(1, "parts", 1500, 0);
+    Command old = cache.next();
+    old.ok("old");
+    client.answer();
+    world.journal.add("\"hosts\":{\"reset\":true,\"instances\":[{\"instanceId\":\"c9\",\"hostPort\":\""
+        + cache.address() + "\",\"zone\":\"z\",\"machineType\":\"box\",\"lifecycle\":\"ready\"}]}");
+    awaitPoll("tail=3&");
+    client.get(2, "parts", 1500, 0);
+    Command fresh = cache.next();
+    assertNotEquals(old.from(), fresh.from());
+    assertNull(fresh.field("miss"), "the origin is not in the new list");
+  }
+
+  @Test
+  void clientsAreLetInOnlyOnceAListIsKnown() throws Exception {
+    world.close();
+    world = new StandIns();
+    world.start(GatewayOptions.read(world.environment(folder)), null);
+    client = world.client();
+    assertFalse(client.status().status());
+    world.journal.host("c0", "127.0.0.1:1", "box", "ready");
+    awaitPoll("tail=1&");
+    assertTrue(client.status().status());
+  }
+
   private void awaitPolls(int many) throws InterruptedException {
     for (int poll = 0; poll < many; poll++) {
       assertNotNull(world.journal.polls.poll(10, TimeUnit.SECONDS));
--- a/src/test/java/amberpath/gateway/StandIns.java
+++ b/src/test/java/amberpath/gateway/StandIns.java
@@ -83,6 +83,21 @@
     return cache;
   }
 
+  /** An address at which connections neither come up nor are refused. */
+  String fullAddress() throws IOException {
+    ServerSocket full = new ServerSocket(0, 1, LOOPBACK);
+    open.add(full);
+    try {
+      while (true) {
+        Socket socket = new Socket();
+        open.add(socket);
+        socket.connect(full.getLocalSocketAddress(), 200);
+      }
+    } catch (java.net.SocketTimeoutException e) {
+      return "127.0.0.1:" + full.getLocalPort();
+    }
+  }
+
   Client client() throws IOException {
     return client(gateway.port());
   }
@@ -145,10 +160,14 @@
       return send(request(number, method, fields(number, allowMs, part), new byte[0]));
     }
 
-    Client withdraw(int number) throws IOException {
+    static byte[] withdrawal(int number) throws IOException {
       MessageBufferPacker packer = MessagePack.newDefaultBufferPacker();
       packer.packArrayHeader(3).packInt(2).packString("withdraw").packArrayHeader(1).packInt(number);
-      return send(packer.toByteArray());
+      return packer.toByteArray();
+    }
+
+    Client withdraw(int number) throws IOException {
+      return send(withdrawal(number));
     }
 
     Answer status() throws IOException {
