--- a/src/main/java/amberpath/gateway/Caches.java
+++ b/src/main/java/amberpath/gateway/Caches.java
@@ -131,6 +131,7 @@
   }
 
   void close() {
+    client.close();
     for (Entry entry : entries) {
       if (entry.pool != null) {
         entry.pool.close();
--- a/src/main/java/amberpath/gateway/Gateway.java
+++ b/src/main/java/amberpath/gateway/Gateway.java
@@ -5,6 +5,7 @@
 import amberpath.journal.JournalClient;
 import amberpath.msgpack.ClientConnection;
 import amberpath.msgpack.Unread;
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -24,6 +25,7 @@
       SWEEP_MS = 1000;
 
   private final Vertx vertx;
+  private final Context context;
   private final GatewayOptions options;
   private final Clock clock = new Clock();
   private final Book book = new Book();
@@ -35,15 +37,16 @@
   private final JournalClient journal;
   private final Entries entries = new Entries();
   private NetServer server;
-  private Phase phase = Phase.NEW;
+  private long sweeper = -1;
+  private volatile Phase phase = Phase.NEW;
 
-  /** The given Vert.x must have one event loop only, or this must be called on the context that is to own it. */
   public Gateway(Vertx vertx, GatewayOptions options) {
     this(vertx, options, new Control(options.site())::round);
   }
 
   Gateway(Vertx vertx, GatewayOptions options, Route.Rounds decisions) {
     this.vertx = vertx;
+    context = vertx.getOrCreateContext();
     this.options = options;
     relay = new Relay(vertx, book);
     caches = new Caches(vertx, options, clock);
@@ -68,7 +71,7 @@
   /** Plays what is known into the decisions, then listens. */
   public Future<Gateway> start() {
     Promise<Gateway> started = Promise.promise();
-    vertx.runOnContext(loop -> {
+    context.runOnContext(loop -> {
       enter(Phase.STARTING);
       entries.play(options.known(), caches);
       server = vertx.createNetServer(new NetServerOptions().setAcceptBacklog(1024));
@@ -84,7 +87,7 @@
           return;
         }
         journal.start();
-        vertx.setPeriodic(SWEEP_MS, sweep -> caches.sweep());
+        sweeper = vertx.setPeriodic(SWEEP_MS, sweep -> caches.sweep());
         enter(Phase.SERVING);
         LOG.info(options.name() + ": listens at " + options.listen().hostAddress() + ":" + port());
         started.complete(this);
@@ -99,7 +102,7 @@
 
   /** Answers what still comes and all that was taken, then lets go of everything. */
   public Future<Void> stop() {
-    vertx.runOnContext(loop -> {
+    context.runOnContext(loop -> {
       if (phase.compareTo(Phase.SERVING) < 0) {
         close();
       } else if (phase == Phase.SERVING) {
@@ -125,6 +128,7 @@
 
   private void close() {
     enter(Phase.STOPPED);
+    vertx.cancelTimer(sweeper);
     journal.close();
     caches.close();
     // A client that does not read keeps nobody waiting.
--- a/src/main/java/amberpath/gateway/Server.java
+++ b/src/main/java/amberpath/gateway/Server.java
@@ -11,12 +11,14 @@
 /** A gateway as a process of its own: one event loop, stopped by the runtime's word to end. */
 public final class Server {
   private static final long STOP_S = 10;
+  private static final String FORMAT = "java.util.logging.SimpleFormatter.format";
 
   private Server() {
   }
 
   /** Starts a gateway; what keeps it from starting is one plain message and exit code 1. */
   public static void run(Map<String, String> environment, PrintStream err) {
+    System.setProperty(FORMAT, System.getProperty(FORMAT, "%1$tF %1$tT.%1$tL %4$s %5$s%6$s%n"));
     GatewayOptions options;
     try {
       options = GatewayOptions.read(environment);
--- a/src/test/java/amberpath/gateway/GatewayTest.java
+++ b/src/test/java/amberpath/gateway/GatewayTest.java
@@ -287,7 +287,8 @@
       world.close();
       world = new StandIns();
       Cache origin = world.cache();
-      world.journal.host("c0", world.fullAddress(), "box", "ready");
+      String full = world.fullAddress();
+      world.journal.host("c0", full, "box", "ready");
       world.journal.host("o0", origin.address(), "origin", "ready");
       Map<String, String> environment = world.environment(folder);
       Path file = Path.of(environment.get("PROXY_CONFIG"));
@@ -298,7 +299,8 @@
       client.status();
       cache = world.cache();
       world.journal.host("c1", cache.address(), "box", "ready");
-      world.journal.host(drained, "127.0.0.1:1", drained.equals("c0") ? "box" : "origin", "draining");
+      boolean edge = drained.equals("c0");
+      world.journal.host(drained, edge ? full : origin.address(), edge ? "box" : "origin", "draining");
       cache.next().ok("elsewhere");
       assertEquals("elsewhere", text(client.answer()));
     }
--- a/src/test/java/amberpath/gateway/StandIns.java
+++ b/src/test/java/amberpath/gateway/StandIns.java
@@ -5,7 +5,6 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import io.vertx.core.Vertx;
-import io.vertx.core.VertxOptions;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.IOException;
@@ -45,7 +44,7 @@
       "purge-takes-s":6,"class-fresh-s":[0,0]},
       "guarantees":{"cold-share":0.2,"cold-s":10,"fall-multiple":3,"fall-s":1}}""";
 
-  final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+  final Vertx vertx = Vertx.vertx();
   final ExecutorService threads = Executors.newCachedThreadPool();
   final Journal journal = new Journal();
   private final List<AutoCloseable> open = new ArrayList<>();
