--- a/src/test/java/amberpath/gateway/GatewayTest.java
+++ b/src/test/java/amberpath/gateway/GatewayTest.java
@@ -520,17 +520,10 @@
 
   @Test
   void theProgramEndsAfterTheWordToStopWithAllAnswered() throws Exception {
-    Map<String, String> environment = new HashMap<>(world.environment(folder));
     int port = freePort();
-    environment.put("PROXY_LISTEN", "127.0.0.1:" + port);
-    ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-        "-cp", System.getProperty("java.class.path"), "amberpath.Main", "serve").redirectErrorStream(true);
-    builder.environment().putAll(environment);
-    Process process = builder.start();
+    Process process = program(port);
     try (BufferedReader log = process.inputReader()) {
-      for (String line = ""; !line.contains("-> SERVING"); line = log.readLine()) {
-        assertNotNull(line);
-      }
+      awaitServing(log);
       Client outside = world.client(port);
       assertTrue(outside.status().status());
       outside.get(1, "parts", 2500, 0);
@@ -547,6 +540,54 @@
     }
   }
 
+  @Test
+  void aKilledGatewayStartsAgainAtOnceUnderItsAddressFromNothing() throws Exception {
+    int port = freePort();
+    for (int start = 1; start <= 2; start++) {
+      Process process = program(port);
+      try (BufferedReader log = process.inputReader()) {
+        awaitServing(log);
+        Client outside = world.client(port);
+        outside.get(start, "parts", 5000, 0);
+        assertEquals("1", cache.next().field("prio"));
+      } finally {
+        process.destroyForcibly().waitFor();
+      }
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource({"listen, no-address, PROXY_LISTEN no address:port: no-address",
+      "listen, taken, PROXY_LISTEN: can't listen at", "config, /nowhere.json, PROXY_CONFIG: /nowhere.json can't be read"})
+  void whatKeepsAGatewayFromStartingIsOneMessageAndExitOne(String key, String value, String message) throws Exception {
+    String listen = value.equals("taken") ? cache.address() : key.equals("listen") ? value : "127.0.0.1:0";
+    Process process = program(Map.of("PROXY_LISTEN", listen, "PROXY_CONFIG",
+        key.equals("config") ? value : world.environment(folder).get("PROXY_CONFIG")));
+    try (BufferedReader log = process.inputReader()) {
+      List<String> said = log.lines().filter(line -> !line.contains(" INFO ")).toList();
+      assertTrue(said.size() == 1 && said.get(0).startsWith(message), said.toString());
+      assertEquals(1, process.waitFor());
+    }
+  }
+
+  private Process program(int port) throws Exception {
+    return program(Map.of("PROXY_LISTEN", "127.0.0.1:" + port,
+        "PROXY_CONFIG", world.environment(folder).get("PROXY_CONFIG")));
+  }
+
+  private static Process program(Map<String, String> environment) throws Exception {
+    ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        "-cp", System.getProperty("java.class.path"), "amberpath.Main", "serve").redirectErrorStream(true);
+    builder.environment().putAll(environment);
+    return builder.start();
+  }
+
+  private static void awaitServing(BufferedReader log) throws Exception {
+    for (String line = ""; !line.contains("-> SERVING"); line = log.readLine()) {
+      assertNotNull(line);
+    }
+  }
+
   private static int freePort() throws Exception {
     try (java.net.ServerSocket socket = new java.net.ServerSocket(0, 1, StandIns.LOOPBACK)) {
       return socket.getLocalPort();
