--- a/src/test/java/amberpath/gateway/GatewayTest.java
+++ b/src/test/java/amberpath/gateway/GatewayTest.java
@@ -559,7 +559,7 @@
   @ParameterizedTest
   @CsvSource({"listen, no-address, PROXY_LISTEN no address:port: no-address",
       "listen, taken, PROXY_LISTEN: can't listen at", "config, /nowhere.json, PROXY_CONFIG: /nowhere.json can't be read"})
-  void whatKeepsAGatewayFromStartingIsOneMessageAndExitOne(String key, String value, String message) throws Exception {
+  void whatKeepsAGatewayFromStartingIsOneMessage(String key, String value, String message) throws Exception {
     String listen = value.equals("taken") ? cache.address() : key.equals("listen") ? value : "127.0.0.1:0";
     Process process = program(Map.of("PROXY_LISTEN", listen, "PROXY_CONFIG",
         key.equals("config") ? value : world.environment(folder).get("PROXY_CONFIG")));
