A gateway that can't read what is known says so and ends

Its message now ends the start. The hook for the word to stop is set before anything is listened for. Unused hooks taken out.

--- a/src/main/java/amberpath/gateway/Caches.java
+++ b/src/main/java/amberpath/gateway/Caches.java
@@ -119,9 +119,6 @@
     route.arrived(null, to -> to.purged(object, group, Math.max(0, clock.since(atMs))));
   }
 
-  @Override public void inTouch() {
-  }
-
   void sweep() {
     for (Entry entry : entries) {
       if (entry.pool != null) {
--- a/src/main/java/amberpath/gateway/Gateway.java
+++ b/src/main/java/amberpath/gateway/Gateway.java
@@ -3,6 +3,7 @@
 import amberpath.Control;
 import amberpath.journal.Entries;
 import amberpath.journal.JournalClient;
+import amberpath.json.Fields;
 import amberpath.msgpack.ClientConnection;
 import amberpath.msgpack.Unread;
 import io.vertx.core.Context;
@@ -11,6 +12,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
+import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Logger;
 
@@ -68,18 +70,24 @@
     return phase;
   }
 
-  /** Plays what is known into the decisions, then listens. */
+  /** Plays what is known into the decisions, then listens. What fails it has a plain message. */
   public Future<Gateway> start() {
     Promise<Gateway> started = Promise.promise();
     context.runOnContext(loop -> {
       enter(Phase.STARTING);
-      entries.play(options.known(), caches);
+      try {
+        entries.play(options.known(), caches);
+      } catch (Fields.Malformed e) {
+        started.fail(e);
+        return;
+      }
       server = vertx.createNetServer(new NetServerOptions().setAcceptBacklog(1024));
       Unread queues = new Unread(options.unreadOfOne(), options.unreadOfAll());
       server.connectHandler(socket -> new ClientConnection(socket, queues, takeIn));
       server.listen(options.listen()).onComplete(listening -> {
         if (listening.failed()) {
-          started.fail(listening.cause());
+          started.fail(new IOException("PROXY_LISTEN: can't listen at " + options.listen() + ": "
+              + listening.cause().getMessage(), listening.cause()));
           return;
         }
         if (phase != Phase.STARTING) {
--- a/src/main/java/amberpath/gateway/GatewayOptions.java
+++ b/src/main/java/amberpath/gateway/GatewayOptions.java
@@ -136,11 +136,6 @@
     return mostOpen;
   }
 
-  /** Connections that clients may hold. */
-  public int clientConnections() {
-    return descriptors / 2;
-  }
-
   /** Connections to each of so many caches, of what clients and the runtime leave. */
   public int connectionsToEach(int caches) {
     int left = descriptors - descriptors / 2 - RUNTIME_DESCRIPTORS;
--- a/src/main/java/amberpath/gateway/Server.java
+++ b/src/main/java/amberpath/gateway/Server.java
@@ -31,11 +31,7 @@
         .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
             .setClassPathResolvingEnabled(false).setFileCachingEnabled(false)));
     Gateway gateway = new Gateway(vertx, options);
-    gateway.start().onFailure(e -> {
-      err.println("PROXY_LISTEN: can't listen at " + options.listen() + ": " + e.getMessage());
-      Runtime.getRuntime().halt(1);
-    });
-    // The runtime ends only after its hooks: all that was taken is answered in this one.
+    // The runtime ends only after its hooks: all that was taken is answered in this one, set before any can come.
     Runtime.getRuntime().addShutdownHook(new Thread(() -> {
       try {
         gateway.stop().toCompletionStage().toCompletableFuture().get(STOP_S, TimeUnit.SECONDS);
@@ -43,5 +39,9 @@
         err.println("stop: " + e);
       }
     }, "stop"));
+    gateway.start().onFailure(e -> {
+      err.println(e.getMessage());
+      Runtime.getRuntime().halt(1);
+    });
   }
 }
--- a/src/test/java/amberpath/gateway/GatewayTest.java
+++ b/src/test/java/amberpath/gateway/GatewayTest.java
@@ -558,11 +558,17 @@
 
   @ParameterizedTest
   @CsvSource({"listen, no-address, PROXY_LISTEN no address:port: no-address",
-      "listen, taken, PROXY_LISTEN: can't listen at", "config, /nowhere.json, PROXY_CONFIG: /nowhere.json can't be read"})
+      "listen, taken, PROXY_LISTEN: can't listen at",
+      "known, asleep, configuration known entries hosts instances: field 'lifecycle' is of no known kind: asleep",
+      "config, /nowhere.json, PROXY_CONFIG: /nowhere.json can't be read"})
   void whatKeepsAGatewayFromStartingIsOneMessage(String key, String value, String message) throws Exception {
+    Path file = Path.of(world.environment(folder).get("PROXY_CONFIG"));
+    if (key.equals("known")) {
+      Files.writeString(file, Files.readString(file).replace("ready", value));
+    }
     String listen = value.equals("taken") ? cache.address() : key.equals("listen") ? value : "127.0.0.1:0";
     Process process = program(Map.of("PROXY_LISTEN", listen, "PROXY_CONFIG",
-        key.equals("config") ? value : world.environment(folder).get("PROXY_CONFIG")));
+        key.equals("config") ? value : file.toString()));
     try (BufferedReader log = process.inputReader()) {
       List<String> said = log.lines().filter(line -> !line.contains(" INFO ")).toList();
       assertTrue(said.size() == 1 && said.get(0).startsWith(message), said.toString());
