--- a/src/main/java/amberpath/gateway/Gateway.java
+++ b/src/main/java/amberpath/gateway/Gateway.java
@@ -75,7 +75,6 @@
     Promise<Gateway> started = Promise.promise();
     context.runOnContext(loop -> {
       enter(Phase.STARTING);
-      Rehearsal.play(options.site());
       try {
         entries.play(options.known(), caches);
       } catch (Fields.Malformed e) {
