--- a/src/main/java/amberpath/gateway/Admit.java
+++ b/src/main/java/amberpath/gateway/Admit.java
@@ -3,6 +3,7 @@
 import amberpath.json.JsonSite;
 import amberpath.msgpack.ClientConnection;
 import amberpath.msgpack.ClientGet;
+import java.nio.charset.StandardCharsets;
 
 /** Second stage: what can't be meant for the decisions, or passes the bound told, is answered here. */
 final class Admit {
@@ -21,7 +22,10 @@
   void get(ClientConnection from, long number, ClientGet asked, long due) {
     int ds = site.service(asked.service());
     if (ds < 0) {
-      from.errored(number, "no delivery service " + asked.service());
+      from.refuse(number, "no delivery service " + asked.service());
+    } else if (book.holds(new String(asked.ref(), StandardCharsets.ISO_8859_1))) {
+      // Guards against an answer to one GET that is taken for another's.
+      from.refuse(number, "ref: open already");
     } else if (book.unanswered() >= mostOpen) {
       from.shed(number, 0);
     } else {
--- a/src/main/java/amberpath/gateway/Book.java
+++ b/src/main/java/amberpath/gateway/Book.java
@@ -2,14 +2,17 @@
 
 import amberpath.msgpack.ClientConnection;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** Last stage: which GETs are open, until each is answered and its last forward has ended. */
 final class Book {
   private final Map<Long, OpenGet> gets = new LinkedHashMap<>();
   private final Map<ClientConnection, Map<Long, OpenGet>> unanswered = new LinkedHashMap<>();
+  private final Set<String> refs = new HashSet<>();
   private long last;
   private int waiting;
 
@@ -21,8 +24,14 @@
     return ++last;
   }
 
+  /** Whether a GET under this id is open here: caches know it by no other name. */
+  boolean holds(String ref) {
+    return refs.contains(ref);
+  }
+
   void open(OpenGet get) {
     gets.put(get.id, get);
+    refs.add(get.ref);
     unanswered.computeIfAbsent(get.client, client -> new LinkedHashMap<>()).put(get.number, get);
     waiting++;
   }
@@ -32,6 +41,10 @@
     return waiting;
   }
 
+  int size() {
+    return gets.size();
+  }
+
   OpenGet unanswered(ClientConnection client, long number) {
     return unanswered.getOrDefault(client, Map.of()).get(number);
   }
@@ -59,6 +72,7 @@
   void close(OpenGet get) {
     if (get.answered && get.out == 0 && get.events == 0) {
       gets.remove(get.id);
+      refs.remove(get.ref);
     }
   }
 }
--- a/src/main/java/amberpath/gateway/Caches.java
+++ b/src/main/java/amberpath/gateway/Caches.java
@@ -10,37 +10,46 @@
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.SocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.function.Consumer;
 
 /** The caches that the journal told of, by the small indices under which the decisions know them. */
 final class Caches implements JournalListener {
   private static final class Entry {
     final String id;
+    final int index;
     SocketAddress address;
     State state;
     CachePool pool;
 
-    Entry(String id) {
+    Entry(String id, int index) {
       this.id = id;
+      this.index = index;
     }
   }
 
   private final GatewayOptions options;
   private final Clock clock;
   private final NetClient client;
-  private final Map<String, Integer> indices = new HashMap<>();
+  private final Complaints complaints;
+  /** Those that are there, and those gone on whose connections something is still open. */
+  private final Map<String, Entry> byId = new HashMap<>();
   private final List<Entry> entries = new ArrayList<>();
+  private final ArrayDeque<Integer> unused = new ArrayDeque<>();
   private final List<Consumer<Events>> list = new ArrayList<>();
   private Route route;
+  private int most;
   private boolean told;
 
-  Caches(Vertx vertx, GatewayOptions options, Clock clock) {
+  Caches(Vertx vertx, GatewayOptions options, Clock clock, Complaints complaints) {
     this.options = options;
     this.clock = clock;
+    this.complaints = complaints;
     client = vertx.createNetClient(new NetClientOptions()
         .setConnectTimeout((int) Math.max(1, options.connectTimeout() / 1_000_000)));
   }
@@ -56,9 +65,9 @@
   CachePool pool(int cache) {
     Entry entry = entries.get(cache);
     if (entry.pool == null) {
-      CachePool.Bounds bounds = new CachePool.Bounds(options.connectionsToEach(entries.size()),
-          options.wantsOnConnection(), options.connectTimeout(), options.connectionIdle(), 1 << 20);
-      entry.pool = new CachePool(entry.id, entry.address, client, bounds, clock::now);
+      CachePool.Bounds bounds = new CachePool.Bounds(() -> entry.state == State.GONE ? 1 : most,
+          options.wantsOnConnection(), options.connectTimeout(), options.connectionIdle(), options.longestAnswer());
+      entry.pool = new CachePool(entry.id, entry.address, client, bounds, clock::now, complaints::add);
     }
     return entry.pool;
   }
@@ -67,17 +76,23 @@
     list.clear();
     list.add(to -> to.listing(whole ? Listing.FULL : Listing.CHANGES));
     if (whole) {
-      entries.forEach(entry -> entry.state = State.GONE);
+      byId.values().forEach(entry -> entry.state = State.GONE);
     }
   }
 
   @Override public void member(String id, String address, String zone, String kind, int cell, State state,
       double weight, long startedAtMs) {
-    int index = indices.computeIfAbsent(id, fresh -> {
-      entries.add(new Entry(fresh));
-      return entries.size() - 1;
+    if (state == State.GONE && !byId.containsKey(id)) {
+      return;
+    }
+    Entry entry = byId.computeIfAbsent(id, fresh -> {
+      Entry made = new Entry(fresh, unused.isEmpty() ? entries.size() : unused.pop());
+      if (made.index == entries.size()) {
+        entries.add(made);
+      }
+      entries.set(made.index, made);
+      return made;
     });
-    Entry entry = entries.get(index);
     entry.state = state;
     if (!address.isEmpty()) {
       SocketAddress now = GatewayOptions.address("journal: hostPort is", address);
@@ -87,7 +102,7 @@
       }
       entry.address = now;
     }
-    list.add(to -> to.member(index, id, zone, kind, cell, state, weight,
+    list.add(to -> to.member(entry.index, id, zone, kind, cell, state, weight,
         startedAtMs == 0 ? 0 : clock.now() - clock.since(startedAtMs)));
   }
 
@@ -104,35 +119,47 @@
       to.listed();
     });
     // Guards drains: what waits for a connection has not been sent, and is not sent past the grace.
-    for (Entry entry : entries) {
+    for (Entry entry : byId.values()) {
       if (entry.pool != null) {
         entry.pool.fail(want -> entry.state != State.UP || !up((Send.Sent) want), Outcome.NOT_SENT);
       }
     }
+    most = options.connectionsToEach((int) byId.values().stream().filter(one -> one.state != State.GONE).count());
   }
 
   private boolean up(Send.Sent sent) {
-    return entries.get(sent.source).state == State.UP;
+    Entry source = entries.get(sent.source);
+    return source != null && source.state == State.UP;
   }
 
   @Override public void purged(long object, int group, long atMs) {
     route.arrived(null, to -> to.purged(object, group, Math.max(0, clock.since(atMs))));
   }
 
+  /** Leaves idle connections, and lets go of caches that are gone once nothing of theirs is open. */
   void sweep() {
-    for (Entry entry : entries) {
-      if (entry.pool != null) {
+    for (Entry entry : List.copyOf(byId.values())) {
+      boolean gone = entry.state == State.GONE;
+      if (entry.pool != null && gone && entry.pool.isFree()) {
+        entry.pool.close();
+        entry.pool = null;
+      } else if (entry.pool != null) {
         entry.pool.sweep();
       }
+      if (entry.pool == null && gone) {
+        byId.remove(entry.id);
+        entries.set(entry.index, null);
+        unused.add(entry.index);
+      }
     }
   }
 
+  int size() {
+    return byId.size();
+  }
+
   void close() {
     client.close();
-    for (Entry entry : entries) {
-      if (entry.pool != null) {
-        entry.pool.close();
-      }
-    }
+    byId.values().stream().map(entry -> entry.pool).filter(Objects::nonNull).forEach(CachePool::close);
   }
 }
--- a/src/main/java/amberpath/gateway/Gateway.java
+++ b/src/main/java/amberpath/gateway/Gateway.java
@@ -14,6 +14,7 @@
 import io.vertx.core.net.NetServerOptions;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.logging.Logger;
 
 /** One gateway, from start to exit. All of it runs on one event loop. */
@@ -22,9 +23,8 @@
   public enum Phase { NEW, STARTING, SERVING, DRAINING, STOPPED }
 
   private static final Logger LOG = Logger.getLogger(Gateway.class.getName());
-  /** How long connections and requests come after the word to stop, and when the kill may come. */
-  private static final long STILL_COMING_MS = 750, LAST_ANSWERS_MS = 3500, CHECK_MS = 20, FLUSH_MS = 100,
-      SWEEP_MS = 1000;
+  /** How long connections and requests come after the word to stop. */
+  private static final long STILL_COMING_MS = 750, CHECK_MS = 20, FLUSH_MS = 100, SWEEP_MS = 250;
 
   private final Vertx vertx;
   private final Context context;
@@ -32,6 +32,8 @@
   private final Clock clock = new Clock();
   private final Book book = new Book();
   private final Promise<Void> stopped = Promise.promise();
+  private final Complaints complaints = new Complaints();
+  private final Clients clients;
   private final Caches caches;
   private final Relay relay;
   private final Route route;
@@ -51,14 +53,17 @@
     context = vertx.getOrCreateContext();
     this.options = options;
     relay = new Relay(vertx, book);
-    caches = new Caches(vertx, options, clock);
+    clients = new Clients(options.mostClients(), clock);
+    caches = new Caches(vertx, options, clock, complaints);
     Send send = new Send(vertx, clock, caches, relay, book, options.site().maxForwards());
     route = new Route(vertx, clock, decisions, book, send, relay);
     send.endingsTo(route);
     caches.newsTo(route);
     Admit admit = new Admit(options.site(), options.mostOpen(), book, route);
-    takeIn = new TakeIn(clock, book, admit, route, relay, () -> phase == Phase.SERVING && caches.told());
-    journal = new JournalClient(vertx, options.journal(), entries, caches, JournalClient.WAIT_MS);
+    takeIn = new TakeIn(clock, book, admit, route, relay, clients, complaints,
+        () -> phase == Phase.SERVING && caches.told());
+    journal = new JournalClient(vertx, options.journal(), entries, caches, JournalClient.WAIT_MS,
+        options.unreadOfAll());
   }
 
   private void enter(Phase next) {
@@ -83,7 +88,7 @@
       }
       server = vertx.createNetServer(new NetServerOptions().setAcceptBacklog(1024));
       Unread queues = new Unread(options.unreadOfOne(), options.unreadOfAll());
-      server.connectHandler(socket -> new ClientConnection(socket, queues, takeIn));
+      server.connectHandler(socket -> clients.add(new ClientConnection(socket, queues, clock::now, takeIn)));
       server.listen(options.listen()).onComplete(listening -> {
         if (listening.failed()) {
           started.fail(new IOException("PROXY_LISTEN: can't listen at " + options.listen() + ": "
@@ -95,7 +100,7 @@
           return;
         }
         journal.start();
-        sweeper = vertx.setPeriodic(SWEEP_MS, sweep -> caches.sweep());
+        sweeper = vertx.setPeriodic(SWEEP_MS, sweep -> sweep());
         enter(Phase.SERVING);
         LOG.info(options.name() + ": listens at " + options.listen().hostAddress() + ":" + port());
         started.complete(this);
@@ -104,6 +109,38 @@
     return started.future();
   }
 
+  private void sweep() {
+    clients.sweep();
+    caches.sweep();
+    complaints.sweep();
+  }
+
+  /**
+   * Takes what may change while it runs: the journal's address, and what is known there by now. The rest stays as it was
+   * told at start. What can't be read changes nothing.
+   *
+   * @param read reads the configuration anew; it is called off the event loop
+   */
+  public Future<Void> reload(Supplier<GatewayOptions> read) {
+    Promise<Void> taken = Promise.promise();
+    context.runOnContext(loop -> context.executeBlocking(read::get).onSuccess(next -> {
+      if (phase != Phase.STARTING && phase != Phase.SERVING) {
+        return;
+      }
+      entries.play(next.known(), caches);
+      if (phase == Phase.SERVING) {
+        journal.moveTo(next.journal());
+      }
+      LOG.info(options.name() + ": the journal is asked at " + next.journal());
+    }).<Void>mapEmpty().onFailure(e -> LOG.warning("SIGHUP: nothing changes: " + e.getMessage())).onComplete(taken));
+    return taken.future();
+  }
+
+  /** How much is held, for those who watch over it: GETs, caches, clients' connections. */
+  int held() {
+    return book.size() + caches.size() + clients.size();
+  }
+
   public int port() {
     return server.actualPort();
   }
@@ -118,7 +155,7 @@
         long since = clock.now();
         vertx.setPeriodic(CHECK_MS, timer -> {
           long passed = (clock.now() - since) / 1_000_000;
-          if (passed > LAST_ANSWERS_MS) {
+          if (passed > options.lastAnswers() / 1_000_000) {
             book.allUnanswered().forEach(get -> {
               relay.errored(get, "stopping");
               route.arrived(get, to -> to.left(get.id));
--- a/src/main/java/amberpath/gateway/GatewayOptions.java
+++ b/src/main/java/amberpath/gateway/GatewayOptions.java
@@ -16,14 +16,16 @@
 
 /** All that a gateway is told when it starts: read, checked and given defaults here, and nowhere else. */
 public final class GatewayOptions {
-  private static final int LEAST_DESCRIPTORS = 96, RUNTIME_DESCRIPTORS = 48;
-  private static final int MOST_TO_CACHE = 8;
+  private static final int LEAST_DESCRIPTORS = 96, RUNTIME_DESCRIPTORS = 40, LEAST_MEMORY_MB = 32;
+  private static final int LONGEST_ANSWER = 240_000;
+  /** From the word to stop to the kill: the longest viewer timeout, or this where it is longer; then some more. */
+  private static final long LONGEST_STOP = 3_000_000_000L, KILL_AFTER_THAT = 500_000_000;
 
   private final String name;
   private final SocketAddress listen, journal;
   private final JsonSite site;
   private final Fields known;
-  private final long connectTimeout, connectionIdle;
+  private final long connectTimeout, connectionIdle, lastAnswers;
   private final int wantsOnConnection, mostOpen, descriptors;
   private final long memory;
 
@@ -35,7 +37,7 @@
     known = all.has("known") ? all.fields("known") : new Fields("known", Map.of());
     Fields limits = all.fieldsOr("limits");
     descriptors = atLeast(limits, "sockets", 1024, LEAST_DESCRIPTORS);
-    memory = (long) atLeast(limits, "memory_mb", 192, 64) << 20;
+    memory = (long) atLeast(limits, "memory_mb", 192, LEAST_MEMORY_MB) << 20;
     Fields settings = all.fields("settings");
     site = new JsonSite(seed(all), settings);
     Fields bounds = settings.fieldsOr("bounds");
@@ -43,6 +45,11 @@
     connectionIdle = bounds.timeOr("conn-idle-s", 30_000_000_000L);
     wantsOnConnection = Math.max(1, bounds.place("multiplex", 1));
     mostOpen = Math.max(1, bounds.place("max-open", Integer.MAX_VALUE));
+    long longest = 0;
+    for (Fields service : settings.each("classes")) {
+      longest = Math.max(longest, service.timeOr("hard-limit-s", LONGEST_STOP));
+    }
+    lastAnswers = Math.min(longest, LONGEST_STOP) + KILL_AFTER_THAT;
   }
 
   /** Reads what the environment names. A message of {@link Fields.Malformed} names the faulty key. */
@@ -136,13 +143,27 @@
     return mostOpen;
   }
 
+  /** How long after the word to stop all must be answered: a little before the kill may come. */
+  public long lastAnswers() {
+    return lastAnswers;
+  }
+
+  /** Connections that clients may hold: usual ones hold a third of the descriptors, others come beside them. */
+  public int mostClients() {
+    return descriptors * 2 / 5;
+  }
+
   /** Connections to each of so many caches, of what clients and the runtime leave. */
   public int connectionsToEach(int caches) {
-    int left = descriptors - descriptors / 2 - RUNTIME_DESCRIPTORS;
-    return Math.max(1, Math.min(MOST_TO_CACHE, left / Math.max(1, caches)));
+    return Math.max(1, (descriptors - mostClients() - RUNTIME_DESCRIPTORS) / Math.max(1, caches));
+  }
+
+  /** The longest part that a cache answers with. */
+  public int longestAnswer() {
+    return LONGEST_ANSWER;
   }
 
-  /** What one client may leave unread, and all together. */
+  /** What one client may leave unread, and all together; and the longest reply of the journal. */
   public long unreadOfOne() {
     return memory / 48;
   }
--- a/src/main/java/amberpath/gateway/OpenGet.java
+++ b/src/main/java/amberpath/gateway/OpenGet.java
@@ -2,6 +2,7 @@
 
 import amberpath.msgpack.ClientConnection;
 import amberpath.msgpack.ClientGet;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -11,6 +12,7 @@
   final ClientConnection client;
   final long number;
   final ClientGet asked;
+  final String ref;
   final int ds;
   final long due;
   final List<Send.Sent> forwards = new ArrayList<>(1);
@@ -24,6 +26,7 @@
     this.client = client;
     this.number = number;
     this.asked = asked;
+    ref = new String(asked.ref(), StandardCharsets.ISO_8859_1);
     this.ds = ds;
     this.due = due;
   }
--- a/src/main/java/amberpath/gateway/Send.java
+++ b/src/main/java/amberpath/gateway/Send.java
@@ -90,7 +90,7 @@
 
   void callOff(OpenGet get, int copy) {
     if (get != null && copy < get.forwards.size()) {
-      get.forwards.get(copy).givenUp(Outcome.CALLED_OFF);
+      get.forwards.get(copy).givenUp(Outcome.CALLED_OFF, false);
     }
   }
 
@@ -114,12 +114,12 @@
     }
 
     private void late() {
-      givenUp(isWritten() ? Outcome.NO_ANSWER : Outcome.NO_CONNECTION);
+      givenUp(isWritten() ? Outcome.NO_ANSWER : Outcome.NO_CONNECTION, true);
     }
 
-    private void givenUp(Outcome outcome) {
+    private void givenUp(Outcome outcome, boolean late) {
       if (!ended) {
-        pool.giveUp(this);
+        pool.giveUp(this, late);
         ended(outcome, Note.NOTHING, null);
       }
     }
--- a/src/main/java/amberpath/gateway/Server.java
+++ b/src/main/java/amberpath/gateway/Server.java
@@ -7,6 +7,7 @@
 import java.io.PrintStream;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import sun.misc.Signal;
 
 /** A gateway as a process of its own: one event loop, stopped by the runtime's word to end. */
 public final class Server {
@@ -31,6 +32,7 @@
         .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
             .setClassPathResolvingEnabled(false).setFileCachingEnabled(false)));
     Gateway gateway = new Gateway(vertx, options);
+    Signal.handle(new Signal("HUP"), signal -> gateway.reload(() -> GatewayOptions.read(environment)));
     // The runtime ends only after its hooks: all that was taken is answered in this one, set before any can come.
     Runtime.getRuntime().addShutdownHook(new Thread(() -> {
       try {
--- a/src/main/java/amberpath/gateway/TakeIn.java
+++ b/src/main/java/amberpath/gateway/TakeIn.java
@@ -3,7 +3,6 @@
 import amberpath.msgpack.ClientConnection;
 import amberpath.msgpack.ClientGet;
 import amberpath.msgpack.ClientHandler;
-import java.util.List;
 import java.util.function.BooleanSupplier;
 
 /** First stage: what clients say, with the time at which it had come whole. */
@@ -13,14 +12,19 @@
   private final Admit admit;
   private final Route route;
   private final Relay relay;
+  private final Clients clients;
+  private final Complaints complaints;
   private final BooleanSupplier ready;
 
-  TakeIn(Clock clock, Book book, Admit admit, Route route, Relay relay, BooleanSupplier ready) {
+  TakeIn(Clock clock, Book book, Admit admit, Route route, Relay relay, Clients clients, Complaints complaints,
+      BooleanSupplier ready) {
     this.clock = clock;
     this.book = book;
     this.admit = admit;
     this.route = route;
     this.relay = relay;
+    this.clients = clients;
+    this.complaints = complaints;
     this.ready = ready;
   }
 
@@ -36,8 +40,17 @@
     return ready.getAsBoolean();
   }
 
+  @Override public void broken(ClientConnection from, String why) {
+    complaints.add(from, why);
+    for (OpenGet get : book.unanswered(from)) {
+      relay.errored(get, "the protocol was broken on this connection");
+      route.arrived(get, to -> to.left(get.id));
+    }
+  }
+
   @Override public void closed(ClientConnection from) {
-    List.copyOf(book.unanswered(from)).forEach(this::left);
+    clients.remove(from);
+    book.unanswered(from).forEach(this::left);
   }
 
   private void left(OpenGet get) {
--- a/src/main/java/amberpath/msgpack/ClientConnection.java
+++ b/src/main/java/amberpath/msgpack/ClientConnection.java
@@ -8,7 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.Set;
-import java.util.logging.Logger;
+import java.util.function.LongSupplier;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
@@ -19,26 +19,52 @@
   /** The longest body that clients send or get. */
   public static final int LONGEST_BODY = 240_000;
 
-  private static final Logger LOG = Logger.getLogger(ClientConnection.class.getName());
   private static final int REQUEST = 0, RESPONSE = 1, NOTIFICATION = 2;
-  private static final int LONGEST = LONGEST_BODY + 16_384;
+  private static final int LONGEST = LONGEST_BODY + 16_384, MOST_OPEN = 32, LONGEST_METHOD = 64;
+  private static final long MOST_NUMBER = 0xffff_ffffL;
+  private static final byte NO_FIELDS = (byte) 0x80;
+  private static final MessagePack.PackerConfig PACKER = new MessagePack.PackerConfig().withBufferSize(128);
 
   private final NetSocket socket;
   private final ClientHandler handler;
+  private final LongSupplier clock;
+  private final MessageReader reader = new MessageReader(LONGEST, this);
   private final Set<Long> open = new HashSet<>();
   private final Unread queues;
   long unread;
-  private boolean closed;
+  private long heardAt;
+  private boolean known, broken, closed;
 
-  public ClientConnection(NetSocket socket, Unread queues, ClientHandler handler) {
+  public ClientConnection(NetSocket socket, Unread queues, LongSupplier clock, ClientHandler handler) {
     this.socket = socket;
     this.queues = queues;
+    this.clock = clock;
     this.handler = handler;
-    socket.handler(new MessageReader(LONGEST, this));
-    socket.exceptionHandler(e -> LOG.fine(() -> "client " + socket.remoteAddress() + ": " + e));
+    heardAt = clock.getAsLong();
+    socket.handler(bytes -> {
+      boolean begins = !reader.midway();
+      reader.handle(bytes);
+      heardAt = known && (begins || !reader.midway()) ? clock.getAsLong() : heardAt;
+    });
+    socket.exceptionHandler(e -> { }); // The close that follows says it all.
     socket.closeHandler(v -> gone());
   }
 
+  /** Whether a whole message is owed: the first, or the rest of one that has begun. */
+  public boolean owes() {
+    return !known || reader.midway();
+  }
+
+  /** Whether nothing is open on it. */
+  public boolean isFree() {
+    return open.isEmpty();
+  }
+
+  /** Since when it is owed, or else when it last said something. */
+  public long heardAt() {
+    return heardAt;
+  }
+
   @Override public boolean message(byte[] bytes, int start, int end) {
     try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes, start, end - start)) {
       int size = in.unpackArrayHeader();
@@ -50,6 +76,7 @@
       } else {
         throw new IOException("no message of type " + type + " and " + size + " elements");
       }
+      known = true;
     } catch (IOException | RuntimeException e) {
       unreadable(e.getMessage() == null ? e.toString() : e.getMessage());
     }
@@ -57,28 +84,40 @@
   }
 
   private void request(MessageUnpacker in, long number) throws IOException {
-    if (!open.add(number)) {
-      throw new IOException("message id " + number + " is open already");
+    if (number < 0 || number > MOST_NUMBER || open.size() == MOST_OPEN || !open.add(number)) {
+      throw new IOException("message id " + number + " is none, open already, or one too many");
     }
-    String method = in.unpackString();
-    int params = in.unpackArrayHeader();
-    if (method.equals("status")) {
-      open.remove(number);
-      send(answer(number, packer -> packer.packNil().packArrayHeader(2).packBoolean(handler.ready())
-          .packMapHeader(0)));
+    if (broken) {
+      errored(number, "the protocol was broken on this connection");
       return;
     }
-    ClientGet get;
     try {
-      if (params < 1) {
-        throw new Unusable("no fields");
+      int length = in.getNextFormat().getValueType() == ValueType.STRING ? in.unpackRawStringHeader() : -1;
+      if (length < 0 || length > LONGEST_METHOD) {
+        throw new Unusable("method: not a string of up to " + LONGEST_METHOD + " bytes");
+      }
+      String method = new String(in.readPayload(length), StandardCharsets.UTF_8);
+      int params = in.getNextFormat().getValueType() == ValueType.ARRAY ? in.unpackArrayHeader() : 0;
+      if (method.equals("status")) {
+        open.remove(number);
+        send(answer(number, packer -> packer.packNil().packArrayHeader(2).packBoolean(handler.ready())
+            .packMapHeader(0)));
+        return;
       }
-      get = RequestFields.read(method, in, params > 1);
+      if (params < 1 || params > 2) {
+        throw new Unusable("not fields and a body");
+      }
+      handler.get(this, number, RequestFields.read(method, in, params > 1));
     } catch (Unusable e) {
-      errored(number, e.getMessage());
-      return;
+      refuse(number, e.getMessage());
     }
-    handler.get(this, number, get);
+  }
+
+  /** Guards against a client that breaks the protocol: an error, and nothing more is returned to it. */
+  public void refuse(long number, String why) {
+    errored(number, why);
+    broken = true;
+    handler.broken(this, why);
   }
 
   private void notification(MessageUnpacker in) throws IOException {
@@ -94,7 +133,7 @@
 
   @Override public void unreadable(String why) {
     if (!closed) {
-      LOG.warning("client " + socket.remoteAddress() + ": closed: " + why);
+      handler.broken(this, why);
       close();
     }
   }
@@ -102,14 +141,11 @@
   /** The bytes of a part, as they came. */
   public void returned(long number, Buffer body) {
     if (open.remove(number)) {
-      Buffer head = answer(number, packer -> packer.packNil().packArrayHeader(2)
-          .packBinaryHeader(body.length()));
-      send(head, body, NO_FIELDS);
+      send(answer(number, packer -> packer.packNil().packArrayHeader(2).packBinaryHeader(body.length()))
+          .appendBuffer(body).appendByte(NO_FIELDS));
     }
   }
 
-  private static final Buffer NO_FIELDS = Buffer.buffer(new byte[] {(byte) 0x80});
-
   /** The client's own copy is the one. */
   public void returnedSame(long number) {
     if (open.remove(number)) {
@@ -144,7 +180,7 @@
   }
 
   private static Buffer answer(long number, Rest rest) {
-    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+    try (MessageBufferPacker packer = PACKER.newBufferPacker()) {
       packer.packArrayHeader(4).packInt(RESPONSE).packLong(number);
       rest.pack(packer);
       return Buffer.buffer(packer.toByteArray());
@@ -153,11 +189,14 @@
     }
   }
 
-  private void send(Buffer... answer) {
-    for (Buffer bytes : answer) {
-      if (!closed) {
-        socket.write(bytes).onComplete(done -> queues.read(this, bytes.length()));
-        queues.add(this, bytes.length());
+  private void send(Buffer answer) {
+    heardAt = known && !reader.midway() ? clock.getAsLong() : heardAt;
+    if (!closed) {
+      queues.add(this, answer.length()); // First: a write may be done at once.
+      if (closed) {
+        queues.read(this, answer.length());
+      } else {
+        socket.write(answer).onComplete(done -> queues.read(this, answer.length()));
       }
     }
   }
--- a/src/main/java/amberpath/msgpack/ClientHandler.java
+++ b/src/main/java/amberpath/msgpack/ClientHandler.java
@@ -10,6 +10,9 @@
   /** Whether clients may come. */
   boolean ready();
 
+  /** The client broke the protocol: nothing more of it is returned. */
+  void broken(ClientConnection from, String why);
+
   /** The connection is gone, and with it all that was open on it. */
   void closed(ClientConnection from);
 }
--- a/src/main/java/amberpath/msgpack/MessageReader.java
+++ b/src/main/java/amberpath/msgpack/MessageReader.java
@@ -31,12 +31,17 @@
     this.sink = sink;
   }
 
+  /** Whether a message has begun and not come whole. */
+  boolean midway() {
+    return size > 0;
+  }
+
   @Override public void handle(Buffer came) {
     if (ended) {
       return;
     }
     if (held.length < size + came.length()) {
-      held = Arrays.copyOf(held, Math.max(size + came.length(), 2 * size));
+      held = Arrays.copyOf(held, Math.max(size + came.length(), Math.min(2 * size, longest)));
     }
     came.getBytes(0, came.length(), held, size);
     size += came.length();
@@ -44,21 +49,26 @@
     try {
       for (int end = end(start); end > start; end = end(start)) {
         if (!sink.message(held, start, end)) {
-          ended = true;
+          end();
           return;
         }
         start = end;
       }
-      if (size - start > longest) {
-        throw new IOException("message longer than " + longest + " bytes");
-      }
     } catch (IOException | RuntimeException e) {
-      ended = true;
+      end();
       sink.unreadable(e.getMessage() == null ? e.toString() : e.getMessage());
+      return;
     }
     size -= start;
-    held = size == 0 && held.length > KEPT ? new byte[1024] : held;
-    System.arraycopy(held, size == 0 ? 0 : start, held, 0, size);
+    byte[] from = held;
+    held = size <= KEPT && held.length > KEPT ? new byte[Math.max(size, 1024)] : held;
+    System.arraycopy(from, start, held, 0, size);
+  }
+
+  private void end() {
+    ended = true;
+    size = 0;
+    held = null;
   }
 
   /** Where the value at start ends; start if it has not come whole. */
@@ -72,8 +82,11 @@
           throw new IOException("message of more than " + MOST_VALUES + " values");
         }
         switch (in.getNextFormat().getValueType()) {
-          case ARRAY -> left += in.unpackArrayHeader();
-          case MAP -> left += 2L * in.unpackMapHeader();
+          case ARRAY -> left += values(in.unpackArrayHeader());
+          case MAP -> left += 2L * values(in.unpackMapHeader());
+          case STRING -> skip(in, in.unpackRawStringHeader());
+          case BINARY -> skip(in, in.unpackBinaryHeader());
+          case EXTENSION -> skip(in, in.unpackExtensionTypeHeader().getLength());
           default -> in.skipValue();
         }
       }
@@ -82,4 +95,19 @@
       return start;
     }
   }
+
+  /** Guards against lengths that no client sends: they are refused when they are told, not when the bytes have come. */
+  private void skip(MessageUnpacker in, int length) throws IOException {
+    if (length < 0 || length + in.getTotalReadBytes() > longest) {
+      throw new IOException("message longer than " + longest + " bytes");
+    }
+    in.readPayloadAsReference(length);
+  }
+
+  private static int values(int told) throws IOException {
+    if (told < 0 || told > MOST_VALUES) {
+      throw new IOException("message of more than " + MOST_VALUES + " values");
+    }
+    return told;
+  }
 }
--- a/src/main/java/amberpath/msgpack/RequestFields.java
+++ b/src/main/java/amberpath/msgpack/RequestFields.java
@@ -10,7 +10,9 @@
 
 /** Decodes of a request's fields what decisions need; the rest stays the bytes that came. */
 final class RequestFields {
-  private static final int MOST = 64;
+  private static final int MOST = 64, LONGEST_KEY = 64, LONGEST_NUMBER = 24;
+  /** The protocol's figures at most; where it names none, an hour, an index and a terabyte. */
+  private static final long MOST_GROUP = 255, LONGEST_MS = 3_600_000, MOST_PARTS = Integer.MAX_VALUE, MOST_KB = 1 << 30;
   private static final byte[] NONE = {};
 
   private final Map<String, byte[]> values = new HashMap<>();
@@ -29,18 +31,25 @@
     }
     for (int i = 0; i < count; i++) {
       byte[] key = text(in, "fields: a key");
+      if (key.length > LONGEST_KEY) {
+        throw new Unusable("fields: a key longer than " + LONGEST_KEY + " bytes");
+      }
       String name = ClientConnection.ascii(key);
-      fields.values.put(name, text(in, name));
+      if (fields.values.put(name, text(in, name)) != null) {
+        throw new Unusable("fields: one key twice");
+      }
     }
     byte[] body = withBody ? body(in) : NONE;
     byte[] object = fields.hex("lookup");
-    byte[] part = fields.digits("chunk");
-    byte[] tag = fields.values.get("tag");
+    byte[] part = fields.present("chunk");
     byte[] known = fields.values.containsKey("known") ? fields.hex("known") : NONE;
+    double allow = fields.real("allow", -1, LONGEST_MS);
+    if (allow < 1) {
+      throw new Unusable("allow: not a time to wait");
+    }
     return new ClientGet(method, fields.hex("ref"), object, part, known, body,
-        Long.parseUnsignedLong(ClientConnection.ascii(object), 16), fields.number("chunk", part),
-        tag == null ? 0 : fields.number("tag", tag),
-        (long) (fields.real("allow", -1) * 1e6), fields.real("room", 0));
+        Long.parseUnsignedLong(ClientConnection.ascii(object), 16), (int) fields.whole("chunk", -1, MOST_PARTS),
+        (int) fields.whole("tag", 0, MOST_GROUP), (long) (allow * 1e6), fields.real("room", 0, MOST_KB));
   }
 
   private static byte[] text(MessageUnpacker in, String name) throws IOException, Unusable {
@@ -86,32 +95,30 @@
     return value;
   }
 
-  private byte[] digits(String name) throws Unusable {
-    byte[] value = present(name);
-    number(name, value);
-    return value;
-  }
-
-  private int number(String name, byte[] value) throws Unusable {
-    try {
-      return Integer.parseUnsignedInt(ClientConnection.ascii(value)) & Integer.MAX_VALUE;
-    } catch (NumberFormatException e) {
+  private long whole(String name, long absent, long most) throws Unusable {
+    double value = real(name, absent, most);
+    if (values.containsKey(name) && ClientConnection.ascii(values.get(name)).indexOf('.') >= 0) {
       throw new Unusable(name + ": not a whole number");
     }
+    return (long) value;
   }
 
-  private double real(String name, double absent) throws Unusable {
+  /** Plain decimals from 0 to a bound; what a runtime reads beyond these is no number here. */
+  private double real(String name, double absent, double most) throws Unusable {
     if (absent >= 0 && !values.containsKey(name)) {
       return absent;
     }
-    try {
-      double value = Double.parseDouble(ClientConnection.ascii(present(name)));
-      if (value >= 0 && value < 1e9) {
-        return value;
-      }
-    } catch (NumberFormatException e) {
-      // Said below.
+    byte[] value = present(name);
+    boolean good = value.length > 0 && value.length <= LONGEST_NUMBER && value[0] != '.';
+    int points = 0;
+    for (byte one : value) {
+      points += one == '.' ? 1 : 0;
+      good &= one >= '0' && one <= '9' || one == '.' && points == 1;
+    }
+    double number = good ? Double.parseDouble(ClientConnection.ascii(value)) : -1;
+    if (number < 0 || number > most) {
+      throw new Unusable(name + ": not a number from 0 to " + (long) most);
     }
-    throw new Unusable(name + ": not a number from 0");
+    return number;
   }
 }
--- a/src/main/java/amberpath/resp/CacheConnection.java
+++ b/src/main/java/amberpath/resp/CacheConnection.java
@@ -10,33 +10,34 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.logging.Logger;
+import java.util.regex.Pattern;
 
 /** One connection to a cache: many wants at once, answers in any order. */
 final class CacheConnection implements ReplyReader.Sink {
-  private static final Logger LOG = Logger.getLogger(CacheConnection.class.getName());
   private static final String NOTES = "hfojsrblnx";
+  private static final int ELEMENTS = 4;
+  /** A copy has a tag and the time at which the origin gave it out. */
+  private static final Pattern COPY = Pattern.compile("^(?=(.*,)?entity=[!-~]+(,|$))(?=(.*,)?issued=[0-9]+(,|$))");
 
   private final CachePool pool;
   private final NetSocket socket;
   private final Map<String, Want> open = new LinkedHashMap<>();
-  private boolean closed;
-  private long heardAt;
-  private long usedAt;
-  private boolean silent;
+  private final ReplyReader reader;
+  private boolean closed, silent;
+  private long heardAt, usedAt;
 
   CacheConnection(CachePool pool, NetSocket socket, int longest, long now) {
     this.pool = pool;
     this.socket = socket;
     heardAt = now;
     usedAt = now;
-    ReplyReader reader = new ReplyReader(longest, this);
+    reader = new ReplyReader(longest, this);
     socket.handler(bytes -> {
       heardAt = pool.now();
       silent = false;
       reader.handle(bytes);
     });
-    socket.exceptionHandler(e -> LOG.fine(() -> pool + ": " + e));
+    socket.exceptionHandler(e -> { }); // The close that follows says it all.
     socket.closeHandler(v -> gone());
   }
 
@@ -63,51 +64,51 @@
   }
 
   /** Gives one up; an answer that crosses this is dropped. */
-  void neverMind(Want want, long patience) {
+  void neverMind(Want want, boolean late, long patience) {
     if (open.remove(want.key, want) && !closed) {
       // Guards against a peer that vanished: a dead connection takes no new wants. One slow answer is no proof,
       // so what is open on it goes on.
       silent |= heardAt < want.writtenAt && pool.now() - want.writtenAt > patience;
-      socket.write(want.encodeNeverMind());
-      if (silent && open.isEmpty()) {
+      // Guards against answers that stop short: what would come next on that connection is of no use.
+      if (open.isEmpty() && (late || silent || reader.midway())) {
         close();
+      } else {
+        socket.write(want.encodeNeverMind());
       }
     }
   }
 
+  /** Only what is whole, readable and meant for what is open here is an answer; more than that is dropped. */
   @Override public void reply(List<Buffer> elements) {
-    Want want = open.remove(text(elements.get(0)));
+    Want want = open.get(text(elements.get(0)));
     if (want == null) {
       return;
     }
-    usedAt = heardAt;
-    String word = elements.size() > 1 ? text(elements.get(1)) : "";
-    Note note = elements.size() > 2 ? note(text(elements.get(2))) : Note.NOTHING;
-    switch (word) {
-      case "ok" -> {
-        if (elements.size() > 3) {
-          want.ended(Outcome.RETURNED, note, elements.get(3));
-        } else {
-          unreadable(want, "ok without bytes");
-        }
-      }
-      case "current" -> want.ended(Outcome.RETURNED, note, null);
-      case "nothing" -> want.ended(Outcome.NOT_STORED, note, null);
-      case "refused" -> want.ended(Outcome.TURNED_AWAY, note, null);
-      case "error" -> want.ended(Outcome.ERRORED, note, null);
-      case "stale" -> want.ended(Outcome.NOT_SENT, note, null);
-      default -> unreadable(want, "answer '" + word + "'");
+    String word = elements.size() == ELEMENTS ? text(elements.get(1)) : "";
+    String fields = elements.size() == ELEMENTS ? text(elements.get(2)) : "";
+    Note note = note(fields);
+    Outcome outcome = switch (word) {
+      case "ok", "current" -> Outcome.RETURNED;
+      case "nothing" -> Outcome.NOT_STORED;
+      case "refused" -> Outcome.TURNED_AWAY;
+      case "error" -> Outcome.ERRORED;
+      case "stale" -> Outcome.NOT_SENT;
+      default -> null;
+    };
+    if (outcome == null || outcome == Outcome.RETURNED && !COPY.matcher(fields).find()) {
+      unreadable("an answer '" + word.substring(0, Math.min(word.length(), 16)) + "' that can't be read");
+      return;
     }
-  }
-
-  private void unreadable(Want want, String why) {
-    open.put(want.key, want);
-    unreadable(why);
+    open.remove(want.key);
+    usedAt = heardAt;
+    want.ended(outcome, note, word.equals("ok") ? elements.get(3) : null);
   }
 
   @Override public void unreadable(String why) {
-    LOG.warning(pool + ": closed: " + why);
-    close();
+    if (!closed) {
+      pool.complain(why);
+      close();
+    }
   }
 
   private static Note note(String fields) {
--- a/src/main/java/amberpath/resp/ReplyReader.java
+++ b/src/main/java/amberpath/resp/ReplyReader.java
@@ -3,13 +3,12 @@
 import io.vertx.core.Handler;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.parsetools.RecordParser;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 
 /** Reads RESP arrays of bulk strings. */
 final class ReplyReader implements Handler<Buffer> {
-  private static final int ELEMENTS = 16, LINE = 32;
+  private static final int ELEMENTS = 16, LINE = 32, DIGITS = 10;
   private static final byte[] END = {'\r', '\n'};
 
   interface Sink {
@@ -28,11 +27,16 @@
   ReplyReader(int longest, Sink sink) {
     this.longest = longest;
     this.sink = sink;
-    parser.maxRecordSize(longest + LINE);
+    parser.maxRecordSize(LINE);
     parser.handler(this::record);
     parser.exceptionHandler(e -> fail(e.getMessage()));
   }
 
+  /** Whether a part of an answer has come, and the rest has not. */
+  boolean midway() {
+    return missing > 0;
+  }
+
   @Override public void handle(Buffer came) {
     if (!ended) {
       parser.handle(came);
@@ -51,6 +55,7 @@
       }
       inBulk = false;
       parser.delimitedMode(Buffer.buffer(END));
+      parser.maxRecordSize(LINE); // Guards against a line that never ends.
       element(record.slice(0, length));
     } else if (missing == 0) {
       missing = length(record, '*', ELEMENTS);
@@ -61,6 +66,7 @@
       int length = length(record, '$', longest);
       if (!ended) {
         inBulk = true;
+        parser.maxRecordSize(length + 2 + LINE);
         parser.fixedSizeMode(length + 2);
       }
     }
@@ -76,15 +82,13 @@
   }
 
   private int length(Buffer line, char kind, int most) {
-    try {
-      if (line.length() > 1 && line.length() < LINE && line.getByte(0) == kind) {
-        int length = Integer.parseInt(line.getString(1, line.length(), StandardCharsets.ISO_8859_1.name()));
-        if (length >= 0 && length <= most) {
-          return length;
-        }
-      }
-    } catch (NumberFormatException e) {
-      // Said below.
+    int length = line.length() > 1 && line.length() < DIGITS && line.getByte(0) == kind ? 0 : most + 1;
+    for (int at = 1; at < line.length() && length <= most; at++) {
+      int digit = line.getByte(at) - '0';
+      length = digit >= 0 && digit <= 9 ? 10 * length + digit : most + 1;
+    }
+    if (length <= most) {
+      return length;
     }
     fail("not '" + kind + "' and a length up to " + most);
     return 0;
