--- a/src/main/java/amberpath/gateway/Gateway.java
+++ b/src/main/java/amberpath/gateway/Gateway.java
@@ -116,8 +116,8 @@
   }
 
   /**
-   * Takes what may change while it runs: the journal's address, and what is known there by now. The rest stays as it was
-   * told at start. What can't be read changes nothing.
+   * Takes what may change while it runs: the journal's address, and what is known there by now. The rest stays as it
+   * was told at start. What can't be read changes nothing.
    *
    * @param read reads the configuration anew; it is called off the event loop
    */
--- a/src/main/java/amberpath/resp/CachePool.java
+++ b/src/main/java/amberpath/resp/CachePool.java
@@ -12,7 +12,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 
-/** The connections to one cache: as many as its part of the descriptors allows, each shared by as few wants as may be. */
+/** The connections to one cache, within its part of the descriptors; as few wants as may be share one. */
 public final class CachePool {
   /** What bounds a pool: connections, wants on one, times to connect and to leave an idle one, the longest body. */
   public record Bounds(IntSupplier connections, int wants, long connect, long idle, int longest) {
