--- a/src/main/java/amberpath/gateway/Gateway.java
+++ b/src/main/java/amberpath/gateway/Gateway.java
@@ -12,6 +12,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.SocketAddress;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -101,14 +102,21 @@
         }
         journal.start();
         sweeper = vertx.setPeriodic(SWEEP_MS, sweep -> sweep());
-        enter(Phase.SERVING);
-        LOG.info(options.name() + ": listens at " + options.listen().hostAddress() + ":" + port());
-        started.complete(this);
+        new Rehearsal(vertx, options.site(), SocketAddress.inetSocketAddress(port(), options.listen().hostAddress()))
+            .play().onComplete(warm -> serve(started));
       });
     });
     return started.future();
   }
 
+  private void serve(Promise<Gateway> started) {
+    if (phase == Phase.STARTING) {
+      enter(Phase.SERVING);
+      LOG.info(options.name() + ": listens at " + options.listen().hostAddress() + ":" + port());
+      started.complete(this);
+    }
+  }
+
   private void sweep() {
     clients.sweep();
     caches.sweep();
--- a/src/main/java/amberpath/msgpack/ClientConnection.java
+++ b/src/main/java/amberpath/msgpack/ClientConnection.java
@@ -175,11 +175,11 @@
     }
   }
 
-  private interface Rest {
+  interface Rest {
     void pack(MessageBufferPacker packer) throws IOException;
   }
 
-  private static Buffer answer(long number, Rest rest) {
+  static Buffer answer(long number, Rest rest) {
     try (MessageBufferPacker packer = PACKER.newBufferPacker()) {
       packer.packArrayHeader(4).packInt(RESPONSE).packLong(number);
       rest.pack(packer);
--- a/src/main/java/amberpath/resp/CacheConnection.java
+++ b/src/main/java/amberpath/resp/CacheConnection.java
@@ -10,14 +10,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.regex.Pattern;
 
 /** One connection to a cache: many wants at once, answers in any order. */
 final class CacheConnection implements ReplyReader.Sink {
   private static final String NOTES = "hfojsrblnx";
+  private static final Note[] NOTE = Note.values();
   private static final int ELEMENTS = 4;
-  /** A copy has a tag and the time at which the origin gave it out. */
-  private static final Pattern COPY = Pattern.compile("^(?=(.*,)?entity=[!-~]+(,|$))(?=(.*,)?issued=[0-9]+(,|$))");
 
   private final CachePool pool;
   private final NetSocket socket;
@@ -84,24 +82,29 @@
     if (want == null) {
       return;
     }
-    String word = elements.size() == ELEMENTS ? text(elements.get(1)) : "";
-    String fields = elements.size() == ELEMENTS ? text(elements.get(2)) : "";
-    Note note = note(fields);
-    Outcome outcome = switch (word) {
-      case "ok", "current" -> Outcome.RETURNED;
+    Outcome outcome = outcome(elements);
+    if (outcome == null) {
+      unreadable("an answer that can't be read");
+      return;
+    }
+    open.remove(want.key);
+    usedAt = heardAt;
+    want.ended(outcome, note(text(elements.get(2))), text(elements.get(1)).equals("ok") ? elements.get(3) : null);
+  }
+
+  /** What an answer says; null where it is not whole or of no known kind. */
+  static Outcome outcome(List<Buffer> elements) {
+    if (elements.size() != ELEMENTS) {
+      return null;
+    }
+    return switch (text(elements.get(1))) {
+      case "ok", "current" -> isCopy(text(elements.get(2))) ? Outcome.RETURNED : null;
       case "nothing" -> Outcome.NOT_STORED;
       case "refused" -> Outcome.TURNED_AWAY;
       case "error" -> Outcome.ERRORED;
       case "stale" -> Outcome.NOT_SENT;
       default -> null;
     };
-    if (outcome == null || outcome == Outcome.RETURNED && !COPY.matcher(fields).find()) {
-      unreadable("an answer '" + word.substring(0, Math.min(word.length(), 16)) + "' that can't be read");
-      return;
-    }
-    open.remove(want.key);
-    usedAt = heardAt;
-    want.ended(outcome, note, word.equals("ok") ? elements.get(3) : null);
   }
 
   @Override public void unreadable(String why) {
@@ -111,16 +114,29 @@
     }
   }
 
-  private static Note note(String fields) {
-    for (String field : fields.split(",")) {
-      if (field.startsWith("res=") && field.length() == 5 && NOTES.indexOf(field.charAt(4)) >= 0) {
-        return Note.values()[NOTES.indexOf(field.charAt(4)) + 1];
-      }
+  /** A copy has a tag and the time at which the origin gave it out. */
+  private static boolean isCopy(String fields) {
+    String issued = value(fields, "issued=");
+    return !value(fields, "entity=").isEmpty() && !issued.isEmpty()
+        && issued.chars().allMatch(one -> one >= '0' && one <= '9');
+  }
+
+  static Note note(String fields) {
+    String note = value(fields, "res=");
+    int place = note.length() == 1 ? NOTES.indexOf(note) : -1;
+    return place < 0 ? Note.NOTHING : NOTE[place + 1];
+  }
+
+  private static String value(String fields, String name) {
+    int at = fields.startsWith(name) ? 0 : fields.indexOf("," + name) + 1;
+    if (at == 0 && !fields.startsWith(name)) {
+      return "";
     }
-    return Note.NOTHING;
+    int end = fields.indexOf(',', at);
+    return fields.substring(at + name.length(), end < 0 ? fields.length() : end);
   }
 
-  private static String text(Buffer bytes) {
+  static String text(Buffer bytes) {
     return bytes.toString(StandardCharsets.ISO_8859_1);
   }
 
--- a/src/test/java/amberpath/gateway/GatewayTest.java
+++ b/src/test/java/amberpath/gateway/GatewayTest.java
@@ -639,6 +639,17 @@
 
   // ---- Start and stop.
 
+  @Test
+  void clientsAreLetInAfterARehearsalOverTheGatewaysOwnAddress() throws Exception {
+    Process process = program(0);
+    try (BufferedReader log = process.inputReader()) {
+      awaitLine(log, "rehearsed ");
+      awaitServing(log);
+    } finally {
+      process.destroyForcibly();
+    }
+  }
+
   @Test
   void aGatewayToldToStopAnswersAllItTookAndWhatStillComes() throws Exception {
     client.get(1, "parts", 2500, 0);
--- a/src/test/java/amberpath/msgpack/MessageReaderTest.java
+++ b/src/test/java/amberpath/msgpack/MessageReaderTest.java
@@ -83,6 +83,11 @@
     assertEquals(List.of("message of more than 512 values"), unreadable);
   }
 
+  @Test
+  void theRehearsalReadsWhatItPlays() {
+    assertEquals(20, RequestRehearsal.play(20));
+  }
+
   @Test
   void nothingIsReadAfterSomethingUnreadable() throws IOException {
     reader.handle(Buffer.buffer(HexFormat.of().parseHex("c1")));
--- a/src/test/java/amberpath/resp/ReplyReaderTest.java
+++ b/src/test/java/amberpath/resp/ReplyReaderTest.java
@@ -59,6 +59,11 @@
     assertTrue(replies.isEmpty());
   }
 
+  @Test
+  void theRehearsalReadsWhatItPlays() {
+    assertEquals(20, ReplyRehearsal.play(20));
+  }
+
   private Want want() {
     return new Want(new byte[16], new byte[0], new byte[0], 2_000_000_000L, List.of()) {
       @Override protected void ended(Outcome outcome, Note note, Buffer body) {
