What later GETs overtook counts in no limit and is sent again

A probe of what cuts: 32 of 48 cuts are late answers by way of the origin, none the lost ones. 3 answers a second that never come, each out for 2.4 s, stood for 7 of the link's first 16 GETs. To blame: Control.woken, which counts whatever is out. Now: when a fill sent more than a patience later has come back in time, through this source and by way of the origin, the earlier one is taken for lost: it leaves the limits and is sent again within the cap.

--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -21,7 +21,7 @@
  * The design (docs/design.md) is {@link #get}, with {@link #admitted} and {@link #first}. Beside it stand:
  * 1. standing: a cache or source that gives no sign of life is set aside, then gets a trickle that doubles;
  * 2. cold ramp: one that has just started gets a thin slice of the keys that widens, and a budget;
- * 3. further forwards: after an end that permits one, or when stuck at one set aside, a share of the GETs;
+ * 3. further forwards: after an end that permits one, when stuck or overtaken, for a share of the GETs;
  * 4. detour of source: the next parent by hash, then the origin;
  * 5. limits: this gateway's part of what comes back in time: GETs at a cache, fills through a source, into
  *    the zone and by way of the origin; past them the next cache by hash, what is held, ageing too, a shed;
@@ -171,10 +171,7 @@
   private boolean place(Get get) {
     Member source = source(get);
     Member cache = get.write && site.bypass() && source != null ? source : cache(get);
-    if (cache != null) {
-      forward(get, cache, source, source == null || crowdedOrigin(get));
-    }
-    return cache != null;
+    return cache != null && forward(get, cache, source, source == null || crowdedOrigin(get));
   }
 
   /** The edge cache: by hash of object and segment, over the caches of the zone that will take it. */
@@ -226,7 +223,7 @@
     return best;
   }
 
-  private void forward(Get get, Member cache, Member source, boolean heldOnly) {
+  private boolean forward(Get get, Member cache, Member source, boolean heldOnly) {
     Member from = source == null ? cache : source;
     long fresh = site.fresh(get.service.ds);
     int switches = (site.joins() ? Decisions.JOIN : 0)
@@ -250,6 +247,7 @@
       sweeping = true;
       out.wake(SWEEP, "sweep");
     }
+    return true;
   }
 
   /** The oldest copy that will do. Guards against purged copies until all caches have dropped theirs. */
@@ -311,8 +309,9 @@
           alive(forward.source, forward.sentAt);
         }
         if (forward.get.sized) {
-          Member whose = hit ? forward.cache : forward.source;
-          (byOrigin ? originLoad : whose).answered(now, inTime);
+          Load whose = byOrigin ? originLoad : hit ? forward.cache : forward.source;
+          whose.answered(now, inTime);
+          whose.promptAt = inTime ? Math.max(whose.promptAt, forward.sentAt) : whose.promptAt;
           if (!hit && !byOrigin) {
             link.answered(now, inTime);
           }
@@ -337,7 +336,6 @@
           || forward.source.heardAt > forward.sentAt + forward.get.patience); // for answers that got lost.
       case LOST -> forward.cache.strikes++; // Guards against resets of single answers: no outage.
       case NO_CONNECTION -> setAside(forward.cache);
-      default -> { }
     }
   }
 
@@ -418,6 +416,10 @@
     return (CROWDED * held + CROWD) / Math.max(weights, 1e-3);
   }
 
+  private boolean overtaken(Forward forward) { // Guards limits and GETs against answers that never come.
+    return Math.min(forward.source.promptAt, originLoad.promptAt) > forward.sentAt + forward.get.patience;
+  }
+
   /** What waits long is at the origin if that was late last: guards parents against a slow origin's blame. */
   private void count(Forward forward, double likely) {
     long known = Math.max(forward.source.cutAt, now - SUSPECT); // A slow origin is not the parents' fault.
@@ -497,7 +499,7 @@
     for (Forward forward : open) {
       Get get = forward.get;
       long waited = now - forward.sentAt;
-      if (forward.source != forward.cache) {
+      if (forward.source != forward.cache && !overtaken(forward)) {
         count(forward, waited > get.patience / 3 ? 1 : get.service.missShare());
       }
       if (!get.done && waited > get.patience) {
@@ -512,11 +514,11 @@
     judge(parents);
     for (Forward forward : new ArrayList<>(open)) {
       Get get = forward.get;
-      boolean cacheOut = forward.cache.share(now) == 0;
-      boolean stuck = cacheOut || forward.source.share(now) == 0 && forward.cache.late > 0;
+      boolean aside = forward.cache.share(now) == 0;
+      boolean stuck = aside || forward.source.share(now) == 0 && forward.cache.late > 0 || overtaken(forward);
       if (stuck && !get.done && get.out == 1 && now - forward.sentAt > get.patience && site.secondCopies()
           && site.effect(get.service.ds) == Effect.IDEMPOTENT) {
-        get.tried.add(cacheOut ? forward.cache : forward.source);
+        get.tried.add(aside ? forward.cache : forward.source);
         again(get);
       }
     }
@@ -640,7 +642,7 @@
    * limit under one GET is kept over time: what was out beyond it is owed before the next may go. */
   private static class Load {
     double part, most, held, used, owed;
-    long settledAt, cutAt;
+    long settledAt, cutAt, promptAt;
 
     double ramp(long now) {
       return 1;
@@ -755,6 +757,5 @@
     }
   }
 
-  private record Forward(Get get, int copy, Member cache, Member source, boolean heldOnly, long sentAt) {
-  }
+  private record Forward(Get get, int copy, Member cache, Member source, boolean heldOnly, long sentAt) { }
 }
--- a/src/test/java/amberpath/ControlTest.java
+++ b/src/test/java/amberpath/ControlTest.java
@@ -488,6 +488,24 @@
     assertEquals(24, host.sent.stream().skip(before).filter(one -> one.source() == 5 || one.source() == 6).count());
   }
 
+  /** Met on the same day: what would never come stood in the limits until its viewer timeout. */
+  @Test
+  void aGetThatIsOvertakenIsSentAgainAndHoldsNoLimit() {
+    Sent lost = host.get(++ids, 1000, 0);
+    for (int after = 0; after < 6; after++) {
+      host.pass(150);
+      for (int object = 0; object < 8; object++) {
+        Sent next = host.get(++ids, 2000 + 10 * after + object, 0);
+        host.pass(20).returned(next, 20, object % 2 == 0 ? Note.FILLED_BY_ORIGIN : Note.FILLED);
+      }
+    }
+    host.pass(20);
+    Sent again = host.last(lost.get());
+    assertNotEquals(lost, again);
+    host.returned(again, 50, Note.HIT);
+    assertEquals(List.of(lost.get() + "/0"), host.calledOff);
+  }
+
   @Test
   void anIndexThatComesBackIsAnotherCache() {
     Set<Long> before = new HashSet<>();
