--- a/src/main/java/amberpath/Arrivals.java
+++ b/src/main/java/amberpath/Arrivals.java
@@ -43,7 +43,7 @@
     /** A streamed answer has begun. */
     void begun(long id, int copy);
 
-    /** A forward has ended; settled tells that the GET has, too. */
+    /** A forward has ended; took is without what the gateway stood still; settled tells that the GET has ended, too. */
     void ended(long id, int copy, int cache, Outcome outcome, long took, boolean settled, Note note);
 
     /** The viewer left. */
--- a/src/main/java/amberpath/gateway/Gateway.java
+++ b/src/main/java/amberpath/gateway/Gateway.java
@@ -34,6 +34,7 @@
   private final Book book = new Book();
   private final Promise<Void> stopped = Promise.promise();
   private final Complaints complaints = new Complaints();
+  private final Standstill standstill = new Standstill(clock);
   private final Clients clients;
   private final Caches caches;
   private final Relay relay;
@@ -42,7 +43,7 @@
   private final JournalClient journal;
   private final Entries entries = new Entries();
   private NetServer server;
-  private long sweeper = -1;
+  private long sweeper = -1, watch = -1;
   private volatile Phase phase = Phase.NEW;
 
   public Gateway(Vertx vertx, GatewayOptions options) {
@@ -56,7 +57,7 @@
     relay = new Relay(vertx, book);
     clients = new Clients(options.mostClients(), clock);
     caches = new Caches(vertx, options, clock, complaints);
-    Send send = new Send(vertx, clock, caches, relay, book, options.site().maxForwards());
+    Send send = new Send(vertx, clock, standstill, caches, relay, book, options.site().maxForwards());
     route = new Route(vertx, clock, decisions, book, send, relay);
     send.endingsTo(route);
     caches.newsTo(route);
@@ -101,6 +102,7 @@
           return;
         }
         journal.start();
+        watch = standstill.watch(vertx);
         sweeper = vertx.setPeriodic(SWEEP_MS, sweep -> sweep());
         new Rehearsal(vertx, options.site(), SocketAddress.inetSocketAddress(port(), options.listen().hostAddress()))
             .play().onComplete(warm -> serve(started));
@@ -180,6 +182,7 @@
   private void close() {
     enter(Phase.STOPPED);
     vertx.cancelTimer(sweeper);
+    vertx.cancelTimer(watch);
     journal.close();
     caches.close();
     // A client that does not read keeps nobody waiting.
--- a/src/main/java/amberpath/gateway/Send.java
+++ b/src/main/java/amberpath/gateway/Send.java
@@ -15,15 +15,17 @@
 
   private final Vertx vertx;
   private final Clock clock;
+  private final Standstill standstill;
   private final Caches caches;
   private final Relay relay;
   private final Book book;
   private final int mostForwards;
   private Route route;
 
-  Send(Vertx vertx, Clock clock, Caches caches, Relay relay, Book book, int mostForwards) {
+  Send(Vertx vertx, Clock clock, Standstill standstill, Caches caches, Relay relay, Book book, int mostForwards) {
     this.vertx = vertx;
     this.clock = clock;
+    this.standstill = standstill;
     this.caches = caches;
     this.relay = relay;
     this.book = book;
@@ -99,7 +101,7 @@
     final OpenGet get;
     final int copy, cache, source;
     private final CachePool pool;
-    private final long sentAt;
+    private final long sentAt, stoodBefore;
     private long timer = -1;
     private boolean ended;
 
@@ -111,6 +113,7 @@
       this.source = source;
       pool = caches.pool(cache);
       this.sentAt = sentAt;
+      stoodBefore = standstill.soFar();
     }
 
     private void late() {
@@ -135,7 +138,8 @@
       if (outcome == Outcome.RETURNED) {
         relay.returned(get, body);
       }
-      long took = clock.now() - sentAt;
+      // Guards caches against the blame for what this gateway read late.
+      long took = Math.max(0, clock.now() - sentAt - (standstill.soFar() - stoodBefore));
       boolean settled = get.answered;
       route.arrived(get, to -> to.ended(get.id, copy, cache, outcome, took, settled, note));
       book.close(get);
--- /dev/null
+++ b/src/main/java/amberpath/gateway/Standstill.java
@@ -0,0 +1,30 @@
+package amberpath.gateway;
+
+import io.vertx.core.Vertx;
+
+/** How long this gateway itself stood still, for want of CPU or in a pause of the runtime: a tick that comes late. */
+final class Standstill {
+  private static final long TICK_MS = 10, SEEN_NS = 5_000_000;
+
+  private final Clock clock;
+  private long due = Long.MAX_VALUE, total;
+
+  Standstill(Clock clock) {
+    this.clock = clock;
+  }
+
+  /** Returns the timer's id. */
+  long watch(Vertx vertx) {
+    due = clock.now() + TICK_MS * 1_000_000;
+    return vertx.setPeriodic(TICK_MS, tick -> {
+      total = soFar();
+      due = clock.now() + TICK_MS * 1_000_000;
+    });
+  }
+
+  /** In all, up to now: also while the late tick has not come yet. */
+  long soFar() {
+    long late = clock.now() - due;
+    return late > SEEN_NS ? total + late : total;
+  }
+}
--- a/src/test/java/amberpath/gateway/GatewayTest.java
+++ b/src/test/java/amberpath/gateway/GatewayTest.java
@@ -24,6 +24,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -251,6 +254,44 @@
     assertEquals("on another", text(client.answer()));
   }
 
+  @Test
+  void whatTheGatewayStoodStillIsNotTheCachesTime() throws Exception {
+    world.close();
+    world = new StandIns();
+    cache = world.cache();
+    world.journal.host("c0", cache.address(), "box", "ready");
+    GatewayOptions options = GatewayOptions.read(world.environment(folder));
+    Control control = new Control(options.site());
+    BlockingQueue<Long> times = new LinkedBlockingQueue<>();
+    CountDownLatch still = new CountDownLatch(1);
+    world.start(options, (now, in, to) -> control.round(now, events -> in.replay(new Ear(events) {
+      @Override public void get(long id, int ds, long object, int group, int part, long left, double kb, boolean w) {
+        if (part == 13) {
+          still.countDown();
+          long until = System.nanoTime() + 600_000_000;
+          while (System.nanoTime() < until) {
+            Thread.onSpinWait();
+          }
+        }
+        super.get(id, ds, object, group, part, left, kb, w);
+      }
+
+      @Override public void ended(long id, int copy, int at, Arrivals.Outcome outcome, long took, boolean settled,
+          Arrivals.Note note) {
+        times.add(took);
+        super.ended(id, copy, at, outcome, took, settled, note);
+      }
+    }), to));
+    client = world.client();
+    client.get(1, "parts", 5000, 0);
+    Command want = cache.next();
+    client.get(2, "parts", 5000, 13);
+    still.await();
+    want.ok("came while it stood still");
+    assertEquals("came while it stood still", text(client.answer()));
+    assertTrue(times.take() < 300_000_000L);
+  }
+
   @Test
   void getsAtOneCacheShareNoConnectionWhereThereIsRoom() throws Exception {
     client.get(1, "parts", 5000, 0);
