--- a/src/main/java/amberpath/gateway/Clients.java
+++ b/src/main/java/amberpath/gateway/Clients.java
@@ -1,6 +1,8 @@
 package amberpath.gateway;
 
 import amberpath.msgpack.ClientConnection;
+import io.vertx.core.Vertx;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -10,32 +12,54 @@
   /** Clients that break the protocol are owed a close within 3 s; this and one sweep stay below. */
   private static final long MESSAGE_NS = 2_000_000_000L;
 
+  private static final long READ_MS = 2;
+
+  private final Vertx vertx;
   private final int most;
   private final Clock clock;
   private final Set<ClientConnection> all = new LinkedHashSet<>();
+  /** Those that go as soon as all is read that had come by now. */
+  private final Set<ClientConnection> leaving = new HashSet<>();
 
-  Clients(int most, Clock clock) {
+  Clients(Vertx vertx, int most, Clock clock) {
+    this.vertx = vertx;
     this.most = most;
     this.clock = clock;
   }
 
-  /** Guards the descriptors: past their bound the connection goes that is of least use, not the newest good one. */
+  /** Guards the descriptors: past their bound the connection of least use goes, not the newest good one. */
   void add(ClientConnection fresh) {
     all.add(fresh);
-    if (all.size() > most) {
+    if (all.size() - leaving.size() > most) {
       ClientConnection least = null;
       for (ClientConnection one : all) {
-        if (one != fresh && (one.owes() || one.isFree()) && (least == null || one.owes() && !least.owes()
+        if (one != fresh && !leaving.contains(one) && (one.owes() || one.isFree()) && (least == null || one.owes() && !least.owes()
             || one.owes() == least.owes() && one.heardAt() < least.heardAt())) {
           least = one;
         }
       }
-      (least == null ? fresh : least).close();
+      leave(least == null ? fresh : least);
     }
   }
 
+  /** Guards requests that crossed this: a connection goes only once the loop has read and still finds nothing open. */
+  private void leave(ClientConnection one) {
+    if (one.owes()) {
+      one.close();
+      return;
+    }
+    leaving.add(one);
+    vertx.setTimer(READ_MS, read -> {
+      leaving.remove(one);
+      if (one.isFree()) {
+        one.close();
+      }
+    });
+  }
+
   void remove(ClientConnection one) {
     all.remove(one);
+    leaving.remove(one);
   }
 
   int size() {
--- a/src/main/java/amberpath/gateway/Gateway.java
+++ b/src/main/java/amberpath/gateway/Gateway.java
@@ -55,7 +55,7 @@
     context = vertx.getOrCreateContext();
     this.options = options;
     relay = new Relay(vertx, book);
-    clients = new Clients(options.mostClients(), clock);
+    clients = new Clients(vertx, options.mostClients(), clock);
     caches = new Caches(vertx, options, clock, complaints);
     Send send = new Send(vertx, clock, standstill, caches, relay, book, options.site().maxForwards());
     route = new Route(vertx, clock, decisions, book, send, relay);
@@ -88,6 +88,8 @@
         started.fail(e);
         return;
       }
+      Rehearsal rehearsal = new Rehearsal(vertx, options.site());
+      rehearsal.play();
       server = vertx.createNetServer(new NetServerOptions().setAcceptBacklog(1024));
       Unread queues = new Unread(options.unreadOfOne(), options.unreadOfAll());
       server.connectHandler(socket -> clients.add(new ClientConnection(socket, queues, clock::now, takeIn)));
@@ -104,8 +106,8 @@
         journal.start();
         watch = standstill.watch(vertx);
         sweeper = vertx.setPeriodic(SWEEP_MS, sweep -> sweep());
-        new Rehearsal(vertx, options.site(), SocketAddress.inetSocketAddress(port(), options.listen().hostAddress()))
-            .play().onComplete(warm -> serve(started));
+        rehearsal.play(SocketAddress.inetSocketAddress(port(), options.listen().hostAddress()))
+            .onComplete(warm -> serve(started));
       });
     });
     return started.future();
--- a/src/main/java/amberpath/gateway/GatewayOptions.java
+++ b/src/main/java/amberpath/gateway/GatewayOptions.java
@@ -16,7 +16,7 @@
 
 /** All that a gateway is told when it starts: read, checked and given defaults here, and nowhere else. */
 public final class GatewayOptions {
-  private static final int LEAST_DESCRIPTORS = 96, RUNTIME_DESCRIPTORS = 40, LEAST_MEMORY_MB = 32;
+  private static final int LEAST_DESCRIPTORS = 128, RUNTIME_DESCRIPTORS = 56, LEAST_MEMORY_MB = 32;
   private static final int LONGEST_ANSWER = 240_000;
   /** From the word to stop to the kill: the longest viewer timeout, or this where it is longer; then some more. */
   private static final long LONGEST_STOP = 3_000_000_000L, KILL_AFTER_THAT = 500_000_000;
--- a/src/main/java/amberpath/gateway/Rehearsal.java
+++ b/src/main/java/amberpath/gateway/Rehearsal.java
@@ -23,60 +23,60 @@
  * that, short of CPU, answers late while its code is cold and takes its own lateness for that of the caches.
  */
 final class Rehearsal implements Decisions {
-  private static final int ROUNDS = 1500, BATCH = 20;
-  private static final long LONGEST = 1_200_000_000, APART = 5_000_000, TOOK = 50_000_000;
-
+  private static final int BATCHES = 75, BATCH = 20, ASKED = 100;
+  private static final long LONGEST = 1_000_000_000, LONGEST_ASKED_MS = 250, APART = 5_000_000, TOOK = 50_000_000;
   private static final Logger LOG = Logger.getLogger(Rehearsal.class.getName());
 
   private final Vertx vertx;
   private final Site site;
-  private final SocketAddress own;
   private final Control control;
   private final Promise<Void> done = Promise.promise();
   private final long start = System.nanoTime();
   private long now = start;
-  private int cache, round;
+  private int cache, round, asked;
 
-  Rehearsal(Vertx vertx, Site site, SocketAddress own) {
+  Rehearsal(Vertx vertx, Site site) {
     this.vertx = vertx;
     this.site = site;
-    this.own = own;
     control = new Control(site);
   }
 
-  /** Plays on a connection to this gateway's own address; no failure of it keeps the gateway from serving. */
-  Future<Void> play() {
+  /** Before anything listens: decisions and codecs. Nothing else runs by now, so the loop may be held. */
+  void play() {
     control.round(now, this::list, this);
+    for (int batch = 0; batch < BATCHES && System.nanoTime() - start < LONGEST; batch++) {
+      for (int in = 0; in < BATCH; in++) {
+        decide(++round);
+      }
+      RequestRehearsal.play(BATCH);
+      ReplyRehearsal.play(BATCH);
+    }
+  }
+
+  /** Then sockets, on a connection to this gateway's own address; no failure of it keeps the gateway from serving. */
+  Future<Void> play(SocketAddress own) {
     NetClient client = vertx.createNetClient();
     client.connect(own).onComplete(up -> {
       if (up.failed()) {
         done.tryComplete();
       } else {
-        up.result().handler(answer -> next(up.result())).closeHandler(closed -> done.tryComplete());
-        next(up.result());
+        up.result().handler(answer -> ask(up.result())).closeHandler(closed -> done.tryComplete());
+        ask(up.result());
       }
     });
-    vertx.setTimer(LONGEST / 1_000_000, late -> done.tryComplete());
+    vertx.setTimer(LONGEST_ASKED_MS, late -> done.tryComplete());
     return done.future().onComplete(end -> {
       client.close();
       LOG.info("rehearsed " + round + " GETs in " + (System.nanoTime() - start) / 1_000_000 + " ms");
     });
   }
 
-  private void next(NetSocket self) {
-    if (done.future().isComplete()) {
-      return;
-    }
-    if (round >= ROUNDS || System.nanoTime() - start > LONGEST) {
+  private void ask(NetSocket self) {
+    if (++asked > ASKED) {
       done.tryComplete();
-      return;
-    }
-    for (int in = 0; in < BATCH; in++) {
-      decide(++round);
+    } else if (!done.future().isComplete()) {
+      self.write(RequestRehearsal.status());
     }
-    RequestRehearsal.play(BATCH);
-    ReplyRehearsal.play(BATCH);
-    self.write(RequestRehearsal.status());
   }
 
   private void decide(int number) {
