--- a/src/main/java/amberpath/gateway/GatewayOptions.java
+++ b/src/main/java/amberpath/gateway/GatewayOptions.java
@@ -148,9 +148,10 @@
     return lastAnswers;
   }
 
-  /** Connections that clients may hold: usual ones hold a third of the descriptors, others come beside them. */
+  /** Connections that clients may hold: usual ones hold a third of the descriptors, half as many more while another
+   * gateway restarts, and others come beside them. */
   public int mostClients() {
-    return descriptors * 2 / 5;
+    return descriptors / 2;
   }
 
   /** Connections to each of so many caches, of what clients and the runtime leave. */
