--- a/src/main/java/amberpath/Control.java
+++ b/src/main/java/amberpath/Control.java
@@ -336,6 +336,7 @@
           || forward.source.heardAt > forward.sentAt + forward.get.patience); // for answers that got lost.
       case LOST -> forward.cache.strikes++; // Guards against resets of single answers: no outage.
       case NO_CONNECTION -> setAside(forward.cache);
+      default -> { }
     }
   }
 
@@ -617,9 +618,8 @@
       if (Arrays.stream(took).sum() >= FULL) {
         Arrays.setAll(took, bin -> took[bin] / 2);
       }
-      work = (long) (IntStream.range(0, BINS)
-          .mapToDouble(bin -> took[bin] * 4.0 * MS * Math.pow(2, (bin + 0.5) / 2)).sum()
-          / Arrays.stream(took).sum());
+      work = (long) (4.0 * MS * IntStream.range(0, BINS).mapToDouble(bin -> took[bin]
+          * Math.pow(2, (bin + 0.5) / 2)).sum() / Arrays.stream(took).sum());
     }
 
     void counted(Note note) {
--- a/src/main/java/amberpath/gateway/Clients.java
+++ b/src/main/java/amberpath/gateway/Clients.java
@@ -33,8 +33,8 @@
     if (all.size() - leaving.size() > most) {
       ClientConnection least = null;
       for (ClientConnection one : all) {
-        if (one != fresh && !leaving.contains(one) && (one.owes() || one.isFree()) && (least == null || one.owes() && !least.owes()
-            || one.owes() == least.owes() && one.heardAt() < least.heardAt())) {
+        if (one != fresh && !leaving.contains(one) && (one.owes() || one.isFree()) && (least == null
+            || one.use() < least.use() || one.use() == least.use() && one.heardAt() < least.heardAt())) {
           least = one;
         }
       }
--- a/src/main/java/amberpath/gateway/Server.java
+++ b/src/main/java/amberpath/gateway/Server.java
@@ -29,8 +29,9 @@
       return;
     }
     Vertx vertx = Vertx.builder().withTransport(OneLoop.transport()).with(new VertxOptions()
-        .setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
-            .setClassPathResolvingEnabled(false).setFileCachingEnabled(false))).build();
+        .setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1)
+        .setFileSystemOptions(new FileSystemOptions().setClassPathResolvingEnabled(false)
+            .setFileCachingEnabled(false))).build();
     Gateway gateway = new Gateway(vertx, options);
     Signal.handle(new Signal("HUP"), signal -> gateway.reload(() -> GatewayOptions.read(environment)));
     // The runtime ends only after its hooks: all that was taken is answered in this one, set before any can come.
--- a/src/main/java/amberpath/msgpack/ClientConnection.java
+++ b/src/main/java/amberpath/msgpack/ClientConnection.java
@@ -33,7 +33,7 @@
   private final Unread queues;
   long unread;
   private long heardAt;
-  private boolean known, broken, closed;
+  private boolean known, asked, broken, closed;
 
   public ClientConnection(NetSocket socket, Unread queues, LongSupplier clock, ClientHandler handler) {
     this.socket = socket;
@@ -55,6 +55,11 @@
     return !known || reader.midway();
   }
 
+  /** How useful it has been: nothing yet, no GET yet, or GETs. */
+  public int use() {
+    return owes() ? 0 : asked ? 2 : 1;
+  }
+
   /** Whether nothing is open on it. */
   public boolean isFree() {
     return open.isEmpty();
@@ -107,7 +112,9 @@
       if (params < 1 || params > 2) {
         throw new Unusable("not fields and a body");
       }
-      handler.get(this, number, RequestFields.read(method, in, params > 1));
+      ClientGet get = RequestFields.read(method, in, params > 1);
+      asked = true;
+      handler.get(this, number, get);
     } catch (Unusable e) {
       refuse(number, e.getMessage());
     }
@@ -117,6 +124,7 @@
   public void refuse(long number, String why) {
     errored(number, why);
     broken = true;
+    asked = false;
     handler.broken(this, why);
   }
 
--- a/src/test/java/amberpath/gateway/GatewayTest.java
+++ b/src/test/java/amberpath/gateway/GatewayTest.java
@@ -596,6 +596,10 @@
 
   @Test
   void pastTheBoundOfDescriptorsTheConnectionOfLeastUseGoes() throws Exception {
+    Client idle = world.client();
+    idle.get(7, "parts", 1500, 0);
+    cache.next().ok("a usual client");
+    idle.answer();
     client.get(1, "parts", 9000, 0);
     Command want = cache.next();
     List<Client> held = new ArrayList<>();
@@ -611,6 +615,7 @@
     assertTrue(silent.isClosed());
     want.ok("still there");
     assertEquals("still there", text(client.answer()));
+    assertTrue(idle.status().status(), "one that asks for GETs does not go for many that ask for the status");
   }
 
   @Test
