Five Maven modules in place of one: core, gateway, registry, lab, app

Need: registry, planners and a laboratory are to come beside the gateway, and nothing kept them apart. Change: files moved with their history; core knows the JDK alone, gateway holds sockets and codecs, registry and lab are still empty, app builds target/amberpath.jar as before.

--- a/src/main/java/amberpath/gateway/Caches.java
+++ b/gateway/src/main/java/amberpath/gateway/Caches.java
@@ -4,7 +4,7 @@
 import amberpath.Arrivals.Listing;
 import amberpath.Arrivals.Outcome;
 import amberpath.Arrivals.State;
-import amberpath.journal.JournalListener;
+import amberpath.Membership;
 import amberpath.resp.CachePool;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
@@ -19,7 +19,7 @@
 import java.util.function.Consumer;
 
 /** The caches that the journal told of, by the small indices under which the decisions know them. */
-final class Caches implements JournalListener {
+final class Caches implements Membership {
   private static final class Entry {
     final String id;
     final int index;
--- a/src/test/java/amberpath/gateway/GatewayTest.java
+++ b/gateway/src/test/java/amberpath/gateway/GatewayTest.java
@@ -790,7 +790,7 @@
 
   private static Process program(Map<String, String> environment) throws Exception {
     ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-        "-cp", System.getProperty("java.class.path"), "amberpath.Main", "serve").redirectErrorStream(true);
+        "-cp", System.getProperty("java.class.path"), ServeProcess.class.getName()).redirectErrorStream(true);
     builder.environment().putAll(environment);
     return builder.start();
   }
