--- /dev/null
+++ b/registry/src/main/java/amberpath/registry/Change.java
@@ -0,0 +1,5 @@
+package amberpath.registry;
+
+/** One event of a watch; held is null where the key was deleted. */
+public record Change(long revision, String key, Held held) {
+}
--- /dev/null
+++ b/registry/src/main/java/amberpath/registry/Content.java
@@ -0,0 +1,23 @@
+package amberpath.registry;
+
+import amberpath.Arrivals.State;
+
+/** What the value of one key says. Keys and values are those of docs/operate/registry.md. */
+public sealed interface Content {
+  /** A cache under its stable id, the last part of its key. Times are Unix milliseconds, 0 for long ago. */
+  record Cache(String id, String address, String zone, String kind, int cell, State state, double weight,
+      long startedAtMs) implements Content {
+  }
+
+  /** A purge of one object or, with object 0, of a group, by the clock of who wrote it. */
+  record Purge(long object, int group, long atMs) implements Content {
+  }
+
+  /** Says nothing of caches: the tip, and keys that a later version may add. */
+  record Other() implements Content {
+  }
+
+  /** Says something that this version can't read. */
+  record Unreadable(String why) implements Content {
+  }
+}
--- /dev/null
+++ b/registry/src/main/java/amberpath/registry/Recovery.java
@@ -0,0 +1,652 @@
+package amberpath.registry;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+
+/**
+ * Decides what is asked of which endpoint, and when, so that the view stays what the registry holds: told what came and
+ * when, it orders the next calls. It holds no socket, thread or clock. Times are nanoseconds.
+ *
+ * <p>Two watches on two endpoints tell each change; what is told once is passed over the second time. Beside them a pulse
+ * asks every tenth of a second what the last write was, so that watches that fell silent are found out. Gaps are closed
+ * by what was written since or, where keys may have been deleted or revisions given anew, by a whole list.
+ *
+ * <p>Bounds: endpoints as told; a list, two watches and one pulse an endpoint open at once; connects a second.
+ */
+public final class Recovery {
+  /** EMPTY: nothing known. CURRENT: as new as the last pulse. BEHIND: a gap is being closed. CUT_OFF: nobody answers. */
+  public enum Phase { EMPTY, CURRENT, BEHIND, CUT_OFF }
+
+  /** What an answer tells of the one who gave it; revision 0 where it tells none. */
+  public record Header(String cluster, long revision) {
+  }
+
+  private static final long MS = 1_000_000;
+  /** All endpoints together are asked within one more pulse's time, whoever of them is silent. */
+  private static final long PULSE = 100 * MS, LONGEST_HOP = 50 * MS;
+  private static final long PULSE_TIME = 400 * MS, OPEN_TIME = 500 * MS;
+  /** A gap is read within so long or, at the next try, within twice that; a whole list has so many times as long. */
+  private static final long FIRST_LIST_TIME = 50 * MS, MOST_LIST_TIME = 800 * MS;
+  private static final int WHOLE_TIMES = 6;
+  /** What a watch may still bring by itself before the gap is read instead. */
+  private static final long SETTLE = 20 * MS;
+  private static final long LAG = 150 * MS;
+  /** How long a change may stay unheard that touched no tip, while all watches are silent. */
+  private static final long AUDIT = 5000 * MS;
+  /** Without contact for this long the registry may have become another one under the same revisions. */
+  private static final long LONE = 1000 * MS;
+  private static final long FIRST_BACKOFF = 50 * MS, MOST_BACKOFF = 8000 * MS, MOST_CUT_OFF = 1000 * MS;
+  private static final long PEOPLE = 5000 * MS, STEADY = 1000 * MS;
+  private static final int CONNECTS = 10, WATCHES = 2, ASIDE = 10;
+  private static final int FIRST_PAGE = 1000, MOST_PAGE = 16_000;
+  /** An endpoint this much slower than the quickest is left. */
+  private static final long SLOWER = 25 * MS;
+
+  private enum Kind { LIST, WATCH, PULSE }
+
+  private final class Endpoint {
+    final int index;
+    final Backoff reach = new Backoff(chance, FIRST_BACKOFF, MOST_BACKOFF);
+    final Backoff watching = new Backoff(chance, FIRST_BACKOFF, MOST_BACKOFF);
+    Call watch, pulse;
+    /** The registry that it showed last. */
+    String shown = "";
+    long took, lastTook, answeredAt = Long.MIN_VALUE / 2, heardAt = Long.MIN_VALUE / 2, triedAt = Long.MIN_VALUE / 2;
+    boolean needsPeople;
+
+    Endpoint(int index) {
+      this.index = index;
+    }
+
+    /** Guards against one that came back unseen, when it is all that is left: each may be tried once in that time. */
+    boolean allows(long now) {
+      return reach.allows(now) || now - answeredAt >= hop && now - triedAt >= LONE && !needsPeople;
+    }
+  }
+
+  private static final class Call {
+    final long id, sentAt, applied, tip;
+    final Kind kind;
+    final Endpoint at;
+    long deadline, revision, since, position, count, openedAt, askedAt;
+    boolean open, whole;
+    String cluster = "";
+    int limit = FIRST_PAGE;
+    final List<Held> items = new ArrayList<>();
+    final List<Change> parts = new ArrayList<>();
+
+    Call(long id, Kind kind, Endpoint at, long now, long deadline, RegistryView view) {
+      this.id = id;
+      this.kind = kind;
+      this.at = at;
+      sentAt = askedAt = now;
+      this.deadline = deadline;
+      applied = view.applied();
+      tip = view.tip();
+    }
+  }
+
+  private final RegistryView view;
+  private final Orders orders;
+  private final SplittableRandom chance;
+  private final Consumer<String> notes;
+  private final int mostKeys;
+  private final boolean blocking;
+  private final long blockingTime, hop;
+  private final List<Endpoint> endpoints = new ArrayList<>();
+  private final Map<Long, Call> calls = new LinkedHashMap<>();
+  private Phase phase = Phase.EMPTY;
+  private Call list;
+  private long ticked, lastCall, nextPulse, lastPulse, heardAt, answeredAt, ownAt, listedAt, tokens, tokensAt;
+  private long tipSeen, tipSeenAt, backwardsAt;
+  private long listTime = FIRST_LIST_TIME;
+  private int pulses, refusals, asked, page = FIRST_PAGE;
+  private boolean started, wholeNeeded = true, listNeeded = true, restored, backwards;
+
+  /**
+   * Makes a recovery that has asked for nothing yet.
+   *
+   * @param endpoints how many there are
+   * @param mostKeys how many keys are taken at most
+   * @param blockingTime how long a blocking read is held at most, for a source whose watches are reads that come back
+   *     with all keys; 0 for one that tells changes
+   * @param notes takes a line for each change of phase and each endpoint that gave cause
+   */
+  public Recovery(RegistryView view, Orders orders, int endpoints, int mostKeys, long blockingTime, long seed,
+      Consumer<String> notes) {
+    this.view = view;
+    this.orders = orders;
+    this.notes = notes;
+    this.mostKeys = mostKeys;
+    this.blockingTime = blockingTime;
+    blocking = blockingTime > 0;
+    chance = new SplittableRandom(seed);
+    for (int index = 0; index < endpoints; index++) {
+      this.endpoints.add(new Endpoint(index));
+    }
+    // Guards endpoints against gateways that all begin with the first of their list.
+    for (int left = endpoints; left > 1; left--) {
+      this.endpoints.add(this.endpoints.remove(chance.nextInt(left)));
+    }
+    hop = endpoints < 2 ? PULSE : Math.min(LONGEST_HOP, PULSE / (endpoints - 1));
+  }
+
+  public Phase phase() {
+    return phase;
+  }
+
+  /** How many watches tell changes now. */
+  public int watches() {
+    return (int) endpoints.stream().filter(one -> one.watch != null && one.watch.open).count();
+  }
+
+  public int calls() {
+    return calls.size();
+  }
+
+  public void start(long now) {
+    started = true;
+    tokens = CONNECTS;
+    tokensAt = heardAt = answeredAt = ownAt = now;
+    nextPulse = now + chance.nextLong(PULSE);
+    tick(now);
+  }
+
+  /** Asks all again from what is known: addresses, keys or tokens may be others now. Watches go on. */
+  public void renewed(long now) {
+    for (Endpoint one : endpoints) {
+      one.needsPeople = false;
+      one.reach.succeeded();
+      one.watching.succeeded();
+    }
+    tick(now);
+  }
+
+  /** When {@link #tick} is due next. */
+  public long due() {
+    long due = nextPulse;
+    // What is due already was tried in the last tick, and is tried again with the next pulse.
+    if (lastPulse > answeredAt && lastPulse + hop > ticked) {
+      due = Math.min(due, lastPulse + hop);
+    }
+    for (Call call : calls.values()) {
+      due = Math.min(due, call.deadline);
+    }
+    if (tipSeen > view.applied() && tipSeenAt + SETTLE > ticked) {
+      due = Math.min(due, tipSeenAt + SETTLE);
+    }
+    return due;
+  }
+
+  /** Time has passed. */
+  public void tick(long now) {
+    if (!started) {
+      return;
+    }
+    ticked = now;
+    for (Call call : List.copyOf(calls.values())) {
+      if (now >= call.deadline && calls.containsKey(call.id)) {
+        orders.drop(call.id);
+        failed(now, call, Failure.SILENT, 0);
+      }
+    }
+    if (now - heardAt > LONE && phase != Phase.CUT_OFF) {
+      wholeNeeded = listNeeded = true;
+      enter(Phase.CUT_OFF);
+    }
+    if (now - answeredAt > PULSE) {
+      endpoints.stream().filter(one -> !one.needsPeople).forEach(one -> one.reach.hasten(now, MOST_CUT_OFF));
+    }
+    pulse(now);
+    if (tipSeen > view.applied() && (now >= tipSeenAt + SETTLE || watches() == 0)) {
+      listNeeded = true;
+    }
+    dropLate(now);
+    leaveSilent(now);
+    list(now);
+    watch(now);
+  }
+
+  private void enter(Phase next) {
+    if (phase != next) {
+      notes.accept(phase + " -> " + next);
+      phase = next;
+    }
+  }
+
+  // ---- What is asked.
+
+  private void pulse(long now) {
+    boolean due = now >= nextPulse;
+    boolean unheard = lastPulse > answeredAt && now >= lastPulse + hop;
+    // Guards the time to hear of a drain: who says no at once is no reason to wait for the next one's turn.
+    boolean refused = refusals > asked && refusals < endpoints.size();
+    if (due) {
+      refusals = asked = 0;
+      nextPulse = now + (watches() == 0 ? PULSE / 2 : PULSE);
+    }
+    if (!due && !unheard && !refused) {
+      return;
+    }
+    List<Endpoint> ready = ready(now);
+    ready.removeIf(one -> one.pulse != null);
+    if (ready.isEmpty()) {
+      return;
+    }
+    // Guards against a slow endpoint that is kept, or a quick one never found: now and then another is asked.
+    Endpoint at = due && ++pulses % ASIDE == 0 ? ready.get(chance.nextInt(ready.size())) : ready.get(0);
+    Call call = call(Kind.PULSE, at, now, PULSE_TIME);
+    asked = refusals;
+    if (call != null) {
+      at.pulse = call;
+      lastPulse = now;
+      orders.pulse(call.id, at.index);
+    }
+  }
+
+  private void list(long now) {
+    if (list != null || !listNeeded && view.known()) {
+      return;
+    }
+    List<Endpoint> ready = ready(now);
+    // Guards the time that a gap may last: who answered last is the likeliest to answer.
+    ready.sort(Comparator.comparing((Endpoint one) -> one.lastTook > hop)
+        .thenComparingLong(one -> -one.answeredAt));
+    for (Endpoint at : ready) {
+      boolean whole = wholeNeeded || !view.known() || restored;
+      Call call = call(Kind.LIST, at, now, whole ? WHOLE_TIMES * listTime : listTime);
+      if (call == null) {
+        return;
+      }
+      if (view.known() && phase != Phase.CUT_OFF) {
+        enter(Phase.BEHIND);
+      }
+      call.whole = whole;
+      call.since = whole ? 0 : view.applied() + 1;
+      call.limit = page;
+      list = call;
+      orders.list(call.id, at.index, 0, "", call.since, call.limit);
+      return;
+    }
+  }
+
+  private void watch(long now) {
+    // Guards against a watch that takes up where another history of revisions left off.
+    if (!view.known() || wholeNeeded) {
+      return;
+    }
+    long there = endpoints.stream().filter(one -> one.watch != null).count();
+    for (Endpoint at : ready(now)) {
+      if (there >= Math.min(WATCHES, endpoints.size())) {
+        return;
+      }
+      if (at.watch == null && at.watching.allows(now)) {
+        Call call = call(Kind.WATCH, at, now, blocking ? blockingTime + OPEN_TIME : OPEN_TIME);
+        if (call == null) {
+          return;
+        }
+        at.watch = call;
+        call.open = blocking;
+        call.position = view.applied();
+        there++;
+        orders.watch(call.id, at.index, view.applied() + 1);
+      }
+    }
+  }
+
+  /** A call, or none while the budget of connects is used up. One to an endpoint that is in contact costs nothing. */
+  private Call call(Kind kind, Endpoint at, long now, long time) {
+    if (now - at.heardAt > LONE || kind == Kind.WATCH) {
+      long whole = (now - tokensAt) * CONNECTS / (1000 * MS);
+      if (whole > 0) {
+        tokens = Math.min(CONNECTS, tokens + whole);
+        tokensAt = now;
+      }
+      if (tokens == 0) {
+        return null;
+      }
+      tokens--;
+    }
+    at.triedAt = now;
+    Call call = new Call(++lastCall, kind, at, now, now + time, view);
+    calls.put(call.id, call);
+    return call;
+  }
+
+  /** Those that may be asked, best first: in contact, then quick, then by chance of the seed. */
+  private List<Endpoint> ready(long now) {
+    List<Endpoint> ready = new ArrayList<>(endpoints);
+    ready.removeIf(one -> !one.allows(now));
+    long quickest = ready.stream().filter(one -> now - one.heardAt <= LONE).mapToLong(one -> one.took).min().orElse(0);
+    ready.sort(Comparator.comparingInt(one -> (one.pulse != null && now - one.pulse.sentAt >= hop ? 8 : 0)
+        + (now - one.heardAt > LONE ? 4 : 0) + (one.reach.isFailing() ? 2 : 0)
+        + (one.took > quickest + SLOWER ? 1 : 0)));
+    return ready;
+  }
+
+  /** A watch that has not brought what a pulse told of is left: it is silent though open, or follows one that lags. */
+  private void dropLate(long now) {
+    if (now < tipSeenAt + LAG) {
+      return;
+    }
+    for (Endpoint at : endpoints) {
+      if (at.watch != null && at.watch.open && at.watch.position < tipSeen && now >= Math.max(at.watch.openedAt, at.watch.sentAt) + LAG) {
+        Call late = at.watch;
+        orders.drop(late.id);
+        failed(now, late, Failure.LAGGING, 0);
+      }
+    }
+  }
+
+  /** A list at an endpoint that fell silent is read elsewhere, if anybody has answered since. */
+  private void leaveSilent(long now) {
+    if (list != null && now - list.askedAt >= 2 * hop && list.at.heardAt < list.askedAt
+        && answeredAt > list.askedAt) {
+      Call silent = list;
+      orders.drop(silent.id);
+      failed(now, silent, Failure.SILENT, 0);
+    }
+  }
+
+  // ---- What came.
+
+  private Call take(long now, long id, Kind... kinds) {
+    Call call = calls.get(id);
+    if (call == null || !List.of(kinds).contains(call.kind)) {
+      return null;
+    }
+    return call;
+  }
+
+  private void heard(long now, Endpoint at) {
+    at.heardAt = heardAt = now;
+    at.needsPeople = false;
+    at.reach.succeeded();
+  }
+
+  /** Whether the answer is of the registry that the view is of. */
+  private boolean isOwn(long now, Call call, Header header) {
+    heard(now, call.at);
+    call.at.shown = header.cluster();
+    if (!view.known() || restored || view.cluster().isEmpty() || header.cluster().equals(view.cluster())) {
+      ownAt = now;
+      return true;
+    }
+    long showing = endpoints.stream().filter(one -> one.shown.equals(header.cluster())).count();
+    if (showing * 2 > endpoints.size() || now - ownAt > LONE) {
+      other(now, "the registry is another one");
+      return false;
+    }
+    notes.accept("endpoint " + call.at.index + " is of another registry");
+    call.at.reach.failed(now, LAG);
+    return false;
+  }
+
+  /** Whether an answer that a majority stands behind goes on from what was known when it was asked for. */
+  private boolean goesOn(long now, Call call, long revision, long tip) {
+    if ((revision == 0 || revision >= call.applied) && (tip < 0 || tip >= call.tip)) {
+      if (call.sentAt >= backwardsAt) {
+        backwards = false;
+      }
+      return true;
+    }
+    if (!backwards) {
+      // Guards against one that answers from an old state: asked once more before it is believed.
+      backwards = true;
+      backwardsAt = now;
+      nextPulse = now;
+    } else if (call.sentAt >= backwardsAt) {
+      backwards = false;
+      other(now, "revisions went back from " + call.applied + " to " + revision);
+    }
+    return false;
+  }
+
+  private void other(long now, String why) {
+    if (!restored) {
+      notes.accept(why + ": all is read anew");
+    }
+    restored = wholeNeeded = listNeeded = true;
+    tipSeen = 0;
+    for (Endpoint one : endpoints) {
+      if (one.watch != null) {
+        orders.drop(one.watch.id);
+        end(one.watch);
+      }
+    }
+    if (list != null) {
+      orders.drop(list.id);
+      end(list);
+    }
+  }
+
+  private void end(Call call) {
+    calls.remove(call.id);
+    if (call.at.watch == call) {
+      call.at.watch = null;
+    }
+    if (call.at.pulse == call) {
+      call.at.pulse = null;
+    }
+    if (list == call) {
+      list = null;
+    }
+  }
+
+  /**
+   * An answer to a pulse.
+   *
+   * @param tip the revision at which the tip was written; 0 where there is none
+   */
+  public void pulsed(long now, long id, Header header, long tip) {
+    Call call = take(now, id, Kind.PULSE);
+    if (call == null) {
+      return;
+    }
+    end(call);
+    answeredAt = call.at.answeredAt = now;
+    call.at.lastTook = now - call.sentAt;
+    call.at.took = call.at.took == 0 ? call.at.lastTook : (3 * call.at.took + call.at.lastTook) / 4;
+    if (isOwn(now, call, header) && goesOn(now, call, header.revision(), tip) && view.known()) {
+      if (header.revision() > view.applied() && now - listedAt > AUDIT) {
+        listNeeded = true;
+      }
+      if (tip > view.applied()) {
+        if (tip > tipSeen) {
+          tipSeen = tip;
+          tipSeenAt = now;
+        }
+      } else if (!wholeNeeded && !listNeeded) {
+        if (tip > tipSeen) {
+          tipSeen = tip;
+          tipSeenAt = now;
+        }
+        view.proven(call.sentAt);
+        enter(Phase.CURRENT);
+      }
+    }
+    tick(now);
+  }
+
+  /**
+   * A part of a list or, for a blocking read, all of it.
+   *
+   * @param count how many keys there are in all; negative where the answer tells all keys whatever was asked for
+   */
+  public void page(long now, long id, Header header, List<Held> items, boolean more, long count) {
+    Call call = take(now, id, Kind.LIST, Kind.WATCH);
+    if (call == null) {
+      return;
+    }
+    if (call.kind == Kind.WATCH) {
+      read(now, call, header, items);
+      return;
+    }
+    if (call.revision == 0) {
+      if (!isOwn(now, call, header) || !restored && !goesOn(now, call, header.revision(), -1)) {
+        end(call);
+        tick(now);
+        return;
+      }
+      call.revision = header.revision();
+      call.cluster = header.cluster();
+      call.count = count;
+    }
+    heard(now, call.at);
+    call.items.addAll(items);
+    if (call.items.size() > mostKeys + (long) call.limit) {
+      orders.drop(call.id);
+      failed(now, call, Failure.UNREADABLE, 0);
+    } else if (more && !items.isEmpty()) {
+      call.askedAt = now;
+      call.deadline = now + WHOLE_TIMES * listTime;
+      orders.list(call.id, call.at.index, call.revision, items.get(items.size() - 1).key(), call.since, call.limit);
+    } else {
+      end(call);
+      listed(now, call);
+    }
+    tick(now);
+  }
+
+  private void listed(long now, Call call) {
+    page = FIRST_PAGE;
+    listedAt = now;
+    listTime = FIRST_LIST_TIME;
+    if (!restored && !call.whole && call.count >= 0) {
+      if (call.revision > view.applied()
+          && !view.written(now, call.items, call.count, call.revision, call.sentAt)) {
+        // Something was deleted as well, and only a whole list tells what.
+        wholeNeeded = true;
+        return;
+      }
+    } else if (restored || !view.known() || call.revision >= view.applied()) {
+      view.whole(now, call.items, call.cluster, call.revision, call.sentAt, restored);
+    }
+    wholeNeeded = listNeeded = restored = false;
+    listNeeded = tipSeen > view.applied();
+    if (!listNeeded) {
+      enter(Phase.CURRENT);
+    }
+  }
+
+  /** A blocking read came back: all keys, and an index that is to be reset when it went back. */
+  private void read(long now, Call call, Header header, List<Held> items) {
+    end(call);
+    if (isOwn(now, call, header) && goesOn(now, call, header.revision(), -1) && !restored && !wholeNeeded) {
+      if (header.revision() > view.applied()) {
+        view.whole(now, items, header.cluster(), header.revision(), now, false);
+      }
+      // Guards against a server that comes back at once for ever.
+      if (now - call.sentAt < SETTLE) {
+        call.at.watching.failed(now, 0);
+      } else {
+        call.at.watching.succeeded();
+      }
+    }
+    tick(now);
+  }
+
+  /** A watch is open. */
+  public void opened(long now, long id, Header header) {
+    Call call = take(now, id, Kind.WATCH);
+    if (call != null && isOwn(now, call, header)) {
+      call.open = true;
+      call.openedAt = now;
+      call.deadline = Long.MAX_VALUE;
+    } else if (call != null && calls.containsKey(id)) {
+      orders.drop(id);
+      end(call);
+    }
+    tick(now);
+  }
+
+  /**
+   * A frame of a watch. Without events it tells that all up to the header's revision has been told.
+   *
+   * @param partial whether more of the same revisions follows
+   */
+  public void told(long now, long id, Header header, List<Change> changes, boolean partial) {
+    Call call = take(now, id, Kind.WATCH);
+    if (call == null || !call.open) {
+      return;
+    }
+    if (!isOwn(now, call, header)) {
+      if (calls.containsKey(id)) {
+        orders.drop(id);
+        end(call);
+      }
+      tick(now);
+      return;
+    }
+    if (now - call.openedAt > STEADY) {
+      call.at.watching.succeeded();
+    }
+    call.parts.addAll(changes);
+    if (call.parts.size() > mostKeys) {
+      orders.drop(id);
+      failed(now, call, Failure.UNREADABLE, 0);
+    } else if (!partial) {
+      if (call.parts.isEmpty()) {
+        call.position = Math.max(call.position, header.revision());
+        view.upTo(header.revision());
+      } else {
+        call.position = Math.max(call.position, call.parts.get(call.parts.size() - 1).revision());
+        view.changes(now, List.copyOf(call.parts));
+        call.parts.clear();
+      }
+    }
+    tick(now);
+  }
+
+  /** What was asked for is no longer kept: a watch's start, or the revision at which a list is read. */
+  public void compacted(long now, long id) {
+    Call call = take(now, id, Kind.LIST, Kind.WATCH);
+    if (call != null) {
+      end(call);
+      listNeeded = true;
+      heard(now, call.at);
+      if (call.kind == Kind.LIST) {
+        // Guards against a list that is never read to its end while the registry compacts: larger parts.
+        page = Math.min(MOST_PAGE, call.limit * 2);
+      }
+    }
+    tick(now);
+  }
+
+  /** A call ended without what it was for. */
+  public void ended(long now, long id, Failure why, long retryAfter) {
+    Call call = calls.get(id);
+    if (call != null) {
+      failed(now, call, why, retryAfter);
+    }
+    tick(now);
+  }
+
+  private void failed(long now, Call call, Failure why, long retryAfter) {
+    end(call);
+    Endpoint at = call.at;
+    if (call.kind == Kind.WATCH) {
+      at.watching.failed(now, retryAfter);
+    }
+    if (why != Failure.LAGGING && !(call.kind == Kind.WATCH && why == Failure.BROKEN)) {
+      at.reach.failed(now, Math.max(retryAfter, why.needsPeople() ? PEOPLE : 0));
+    }
+    if (call.kind == Kind.LIST && why == Failure.SILENT) {
+      listTime = Math.min(MOST_LIST_TIME, listTime * 2);
+    }
+    if (call.kind == Kind.PULSE && why == Failure.SILENT) {
+      at.took = at.lastTook = Math.max(at.took, PULSE_TIME);
+    } else if (call.kind == Kind.PULSE) {
+      refusals++;
+    }
+    if (why.needsPeople() && !at.needsPeople || why == Failure.UNREADABLE || why == Failure.LAGGING) {
+      notes.accept("endpoint " + at.index + ": " + call.kind + " " + why);
+    }
+    at.needsPeople = why.needsPeople();
+  }
+}
--- /dev/null
+++ b/registry/src/main/java/amberpath/registry/RegistryView.java
@@ -0,0 +1,309 @@
+package amberpath.registry;
+
+import amberpath.Arrivals.State;
+import amberpath.Membership;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+
+/**
+ * What a gateway believes of the registry, and the news that it makes of every difference: each told once, in the order
+ * of revisions, all keys of one revision in one listing. Times are nanoseconds since the Unix epoch by one clock that
+ * only goes forward.
+ *
+ * <p>Bounds: mostKeys keys are held; one that would be past it is passed over with a complaint, while those held go on
+ * being followed.
+ */
+public final class RegistryView {
+  /** By how much the clock of who wrote a purge may be behind this one. */
+  static final long SKEW = 2_000_000_000;
+
+  private static final long MS = 1_000_000;
+
+  private final Membership to;
+  private final int mostKeys;
+  private final long retention;
+  private final String tipKey;
+  private final Consumer<String> complaints;
+  private Map<String, Held> keys = new TreeMap<>();
+  private String cluster = "";
+  private long applied, provenAt;
+  private boolean known, surplus;
+
+  /**
+   * Makes an empty view.
+   *
+   * @param tipKey the key that each write touches
+   * @param retention how long the registry keeps the key of a purge at least
+   * @param complaints takes a line for each value that can't be read, the key first
+   */
+  public RegistryView(Membership to, String tipKey, int mostKeys, long retention, Consumer<String> complaints) {
+    this.to = to;
+    this.tipKey = tipKey;
+    this.mostKeys = mostKeys;
+    this.retention = retention;
+    this.complaints = complaints;
+  }
+
+  /** Whether anything was ever told: from the registry, or from a snapshot. */
+  public boolean known() {
+    return known;
+  }
+
+  /** All changes up to this revision are in the view. */
+  public long applied() {
+    return applied;
+  }
+
+  /** The revision of the last write of which the view knows. */
+  public long tip() {
+    Held tip = keys.get(tipKey);
+    return tip == null ? 0 : tip.changed();
+  }
+
+  /** The registry's own id; empty where it tells none. */
+  public String cluster() {
+    return cluster;
+  }
+
+  /** At this time the view held all that the registry did. */
+  public long provenAt() {
+    return provenAt;
+  }
+
+  public int size() {
+    return keys.size();
+  }
+
+  /** What is held, by key. */
+  public Collection<Held> held() {
+    return Collections.unmodifiableCollection(keys.values());
+  }
+
+  public void proven(long asOf) {
+    provenAt = Math.max(provenAt, asOf);
+  }
+
+  /** The view as it was kept at another time: told as a whole list, with its true age. */
+  public void remember(long now, Collection<Held> kept, String ofCluster, long revision, long asOf) {
+    keys = bounded(kept);
+    cluster = ofCluster;
+    applied = revision;
+    provenAt = asOf;
+    tellWhole(now, false);
+  }
+
+  /**
+   * Takes all keys at one revision. Tells the difference, or all where nothing was known or the registry is not the one
+   * that it was.
+   *
+   * @param asOf when that list was asked for
+   * @param restored whether it is known to be another history of revisions
+   */
+  public void whole(long now, Collection<Held> all, String ofCluster, long revision, long asOf, boolean restored) {
+    boolean other = restored || known && !ofCluster.equals(cluster) || isOtherHistory(all);
+    boolean gap = known && asOf - provenAt > retention;
+    Map<String, Held> before = keys;
+    boolean first = !known;
+    keys = bounded(all);
+    keepLastGood(before, other);
+    cluster = ofCluster;
+    applied = revision;
+    if (first || other) {
+      tellWhole(now, first);
+      if (!first) {
+        tellPurges(before, now);
+      }
+    } else {
+      TreeSet<String> touched = new TreeSet<>(before.keySet());
+      touched.addAll(keys.keySet());
+      tell(before, touched, now);
+    }
+    // Guards against purges that came and went unseen: their keys are no longer there to be told.
+    if (gap || other && !first) {
+      to.purged(0, Membership.EVERYTHING, now / MS);
+    }
+    provenAt = asOf;
+  }
+
+  /** A key that was written earlier than it is known to have been: revisions were given anew. */
+  private boolean isOtherHistory(Collection<Held> all) {
+    for (Held one : all) {
+      Held before = keys.get(one.key());
+      if (before != null && one.changed() < before.changed()) {
+        return known;
+      }
+    }
+    return false;
+  }
+
+  /**
+   * Takes all keys that were written after {@link #applied}, as they stand at a revision.
+   *
+   * @param count how many keys there are in all at that revision
+   * @return whether that is the whole difference; otherwise keys were deleted too, and nothing was taken
+   */
+  public boolean written(long now, Collection<Held> since, long count, long revision, long asOf) {
+    long more = since.stream().filter(one -> !keys.containsKey(one.key())).count();
+    if (surplus || keys.size() + more != count) {
+      return false;
+    }
+    Map<String, Held> before = new TreeMap<>();
+    since.forEach(one -> put(before, one));
+    applied = Math.max(applied, revision);
+    tell(before, before.keySet(), now);
+    proven(asOf);
+    return true;
+  }
+
+  /** Takes the events of a watch, in the order of their revisions; those that are known are passed over. */
+  public void changes(long now, List<Change> events) {
+    int at = 0;
+    while (at < events.size()) {
+      long revision = events.get(at).revision();
+      Map<String, Held> before = new TreeMap<>();
+      int end = at;
+      for (; end < events.size() && events.get(end).revision() == revision; end++) {
+        Change change = events.get(end);
+        if (revision <= applied) {
+          continue;
+        }
+        if (change.held() == null) {
+          before.putIfAbsent(change.key(), keys.remove(change.key()));
+        } else {
+          put(before, change.held());
+        }
+      }
+      at = end;
+      if (revision > applied) {
+        applied = revision;
+        tell(before, before.keySet(), now);
+      }
+    }
+  }
+
+  /** All up to a revision has been told, though nothing of it was about these keys. */
+  public void upTo(long revision) {
+    applied = Math.max(applied, revision);
+  }
+
+  private void put(Map<String, Held> before, Held one) {
+    Held old = keys.get(one.key());
+    if (old == null && keys.size() >= mostKeys) {
+      overfull();
+      return;
+    }
+    before.putIfAbsent(one.key(), old);
+    keys.put(one.key(), lastGood(old, one));
+  }
+
+  private void overfull() {
+    if (!surplus) {
+      surplus = true;
+      complaints.accept("more than " + mostKeys + " keys: those past it are passed over");
+    }
+  }
+
+  private Map<String, Held> bounded(Collection<Held> all) {
+    Map<String, Held> made = new TreeMap<>();
+    surplus = false;
+    for (Held one : all) {
+      if (made.size() < mostKeys || made.containsKey(one.key())) {
+        made.put(one.key(), one);
+      } else {
+        overfull();
+      }
+    }
+    return made;
+  }
+
+  private void keepLastGood(Map<String, Held> before, boolean other) {
+    for (Map.Entry<String, Held> entry : keys.entrySet()) {
+      entry.setValue(lastGood(other ? null : before.get(entry.getKey()), entry.getValue()));
+    }
+  }
+
+  /** A value that can't be read spoils its own key alone, and that only until it was good once. */
+  private Held lastGood(Held old, Held one) {
+    if (!(one.content() instanceof Content.Unreadable spoilt)) {
+      return one;
+    }
+    if (old == null || old.changed() != one.changed()) {
+      complaints.accept(one.key() + ": " + spoilt.why());
+    }
+    return old != null && old.created() == one.created() ? one.saying(old.content()) : one;
+  }
+
+  private void tellWhole(long now, boolean withPurges) {
+    known = true;
+    to.listing(true);
+    for (Held one : keys.values()) {
+      if (one.content() instanceof Content.Cache cache) {
+        member(cache, cache.state());
+      }
+    }
+    to.listed();
+    if (withPurges) {
+      for (Held one : keys.values()) {
+        if (one.content() instanceof Content.Purge purge) {
+          // Guards against the writer's clock being behind: when it happened can't be known better than that.
+          to.purged(purge.object(), purge.group(), Math.min(now, purge.atMs() * MS + SKEW) / MS);
+        }
+      }
+    }
+  }
+
+  /** One listing with what differs; a cache that was created anew goes in one of its own before it. */
+  private void tell(Map<String, Held> before, Collection<String> touched, long now) {
+    List<Content.Cache> replaced = new ArrayList<>(), gone = new ArrayList<>(), there = new ArrayList<>();
+    for (String key : touched) {
+      Held old = before.get(key), held = keys.get(key);
+      Content.Cache was = old != null && old.content() instanceof Content.Cache cache ? cache : null;
+      Content.Cache is = held != null && held.content() instanceof Content.Cache cache ? cache : null;
+      if (was != null && is == null) {
+        gone.add(was);
+      } else if (is != null && was != null && old.created() != held.created()) {
+        replaced.add(was);
+        there.add(is);
+      } else if (is != null && !is.equals(was)) {
+        there.add(is);
+      }
+    }
+    if (!replaced.isEmpty()) {
+      to.listing(false);
+      replaced.forEach(cache -> member(cache, State.GONE));
+      to.listed();
+    }
+    if (!gone.isEmpty() || !there.isEmpty()) {
+      to.listing(false);
+      gone.forEach(cache -> member(cache, State.GONE));
+      there.forEach(cache -> member(cache, cache.state()));
+      to.listed();
+    }
+    for (String key : touched) {
+      purged(before.get(key), keys.get(key), now);
+    }
+  }
+
+  private void tellPurges(Map<String, Held> before, long now) {
+    keys.forEach((key, held) -> purged(before.get(key), held, now));
+  }
+
+  /** A purge that is new to the view was committed since it was last proven: at the latest now. */
+  private void purged(Held old, Held held, long now) {
+    if (held != null && held.content() instanceof Content.Purge purge
+        && (old == null || !purge.equals(old.content()))) {
+      to.purged(purge.object(), purge.group(), now / MS);
+    }
+  }
+
+  private void member(Content.Cache cache, State state) {
+    to.member(cache.id(), cache.address(), cache.zone(), cache.kind(), cache.cell(), state, cache.weight(),
+        cache.startedAtMs());
+  }
+}
