--- a/app/src/main/java/amberpath/Main.java
+++ b/app/src/main/java/amberpath/Main.java
@@ -1,23 +1,28 @@
 package amberpath;
 
+import amberpath.cli.AmberpathCommand;
 import amberpath.gateway.Server;
 import amberpath.wire.WireHost;
 import java.io.IOException;
+import java.util.Map;
 
-/** The command line: one subcommand for each way in to the decisions. */
+/**
+ * The way in. What the platform starts is told apart here, before any class of the command line is loaded: a gateway's
+ * start and memory owe nothing to the tools.
+ */
 public final class Main {
   private Main() {
   }
 
   public static void main(String[] args) throws IOException {
+    Map<String, String> environment = System.getenv();
     String command = args.length == 1 ? args[0] : "";
-    switch (command) {
-      case "serve" -> Server.run(System.getenv(), System.err);
-      case "wirehost" -> System.exit(new WireHost(System.in, System.out, System.err).run());
-      default -> {
-        System.err.println("usage: amberpath serve | wirehost");
-        System.exit(2);
-      }
+    if (command.equals("serve") && !environment.containsKey("AMBERPATH_FILE")) {
+      Server.run(environment, System.err);
+    } else if (command.equals("wirehost")) {
+      System.exit(new WireHost(System.in, System.out, System.err).run());
+    } else {
+      AmberpathCommand.run(args);
     }
   }
 }
--- /dev/null
+++ b/app/src/main/java/amberpath/cli/DeploymentFile.java
@@ -0,0 +1,209 @@
+package amberpath.cli;
+
+import amberpath.gateway.GatewayOptions;
+import amberpath.json.Fields;
+import amberpath.registry.live.RegistryAccess;
+import io.vertx.core.net.SocketAddress;
+import java.io.IOException;
+import java.io.Reader;
+import java.math.BigDecimal;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import org.apache.commons.configuration2.INIConfiguration;
+import org.apache.commons.configuration2.SubnodeConfiguration;
+import org.apache.commons.configuration2.ex.ConfigurationException;
+
+/**
+ * What is set for an installation beside the platform's JSON: one INI file, read, checked and given defaults here and
+ * nowhere else. deploy/amberpath.ini holds every key. A section that is absent leaves its feature off.
+ */
+public final class DeploymentFile {
+  private static final long SECOND = 1_000_000_000;
+  private static final int MOST_ENDPOINTS = 9, PREFIX_LENGTH = 128;
+  private static final Map<String, Set<String>> KEYS = Map.of("registry", Set.of("form", "endpoints", "prefix",
+      "journal", "trust", "certificate", "key", "token", "user", "password", "snapshot", "snapshot-every-s",
+      "snapshot-oldest-s", "retention-s", "most-keys", "longest-answer-kb"));
+
+  /** What is wrong with a file, as one message that names file, section and key. */
+  public static final class Faulty extends RuntimeException {
+    Faulty(String message) {
+      super(message);
+    }
+  }
+
+  private final Path file;
+  private final INIConfiguration all = new INIConfiguration();
+  private final RegistryAccess registry;
+  private final boolean journalBeside;
+
+  private DeploymentFile(Path file) {
+    this.file = file;
+    try (Reader in = Files.newBufferedReader(file)) {
+      all.read(in);
+    } catch (IOException e) {
+      throw new Faulty(file + ": can't be read: " + e.getClass().getSimpleName());
+    } catch (ConfigurationException e) {
+      throw new Faulty(file + ": no INI: " + e.getMessage());
+    }
+    for (String section : all.getSections()) {
+      if (section == null || !KEYS.containsKey(section)) {
+        throw new Faulty(file + ": [" + (section == null ? "" : section) + "]: no such section");
+      }
+      Set<String> seen = new HashSet<>();
+      all.getSection(section).getKeys().forEachRemaining(key -> {
+        String plain = key.replace("..", ".");
+        if (!KEYS.get(section).contains(plain)) {
+          throw wrong(section, plain, "no such key");
+        }
+        if (!seen.add(plain) || all.getSection(section).getList(key).size() > 1) {
+          throw wrong(section, plain, "given twice");
+        }
+      });
+    }
+    journalBeside = all.getSections().contains("registry") && journalBeside();
+    registry = all.getSections().contains("registry") ? access() : null;
+  }
+
+  public static DeploymentFile read(Path file) {
+    return new DeploymentFile(file);
+  }
+
+  /** Null where no registry is asked. */
+  public RegistryAccess registry() {
+    return registry;
+  }
+
+  /** Whether the journal is believed beside the registry, or not asked at all. */
+  public boolean journalBeside() {
+    return registry == null ? choice("registry", "journal", "instead", "instead", "beside").equals("beside")
+        : journalBeside;
+  }
+
+  private RegistryAccess access() {
+    String section = "registry";
+    RegistryAccess.Form form = RegistryAccess.Form.valueOf(
+        choice(section, "form", null, "etcd", "consul").toUpperCase(Locale.ROOT));
+    Path trust = path(section, "trust", true), certificate = path(section, "certificate", true);
+    Path key = path(section, "key", true), token = path(section, "token", true);
+    Path password = path(section, "password", true);
+    String user = text(section, "user", null);
+    List<SocketAddress> endpoints = endpoints(section);
+    if (certificate != null && trust == null) {
+      throw wrong(section, "certificate", "needs 'trust'");
+    }
+    if ((certificate == null) != (key == null)) {
+      throw wrong(section, certificate == null ? "certificate" : "key", "missing: both or neither");
+    }
+    if ((user == null) != (password == null)) {
+      throw wrong(section, user == null ? "user" : "password", "missing: both or neither");
+    }
+    if (user != null && (token != null || form == RegistryAccess.Form.CONSUL)) {
+      throw wrong(section, "user", "only with form = etcd and without 'token'");
+    }
+    return new RegistryAccess(form, endpoints, prefix(section), trust, certificate, key, token, user, password,
+        path(section, "snapshot", false), seconds(section, "snapshot-every-s", "5", 1, 3600),
+        seconds(section, "snapshot-oldest-s", "86400", 1, 31_536_000),
+        seconds(section, "retention-s", "600", 10, 86_400), whole(section, "most-keys", "20000", 10, 1_000_000),
+        whole(section, "longest-answer-kb", "8192", 64, 262_144) << 10);
+  }
+
+  private List<SocketAddress> endpoints(String section) {
+    List<SocketAddress> endpoints = new ArrayList<>();
+    for (String one : text(section, "endpoints", "").split("[,\\s]+")) {
+      if (!one.isEmpty()) {
+        try {
+          SocketAddress address = GatewayOptions.address("", one);
+          if (endpoints.contains(address)) {
+            throw wrong(section, "endpoints", one + " is given twice");
+          }
+          endpoints.add(address);
+        } catch (Fields.Malformed e) {
+          throw wrong(section, "endpoints", "no numeric address:port: " + one);
+        }
+      }
+    }
+    if (endpoints.isEmpty() || endpoints.size() > MOST_ENDPOINTS) {
+      throw wrong(section, "endpoints", endpoints.isEmpty() ? "missing" : "more than " + MOST_ENDPOINTS);
+    }
+    return endpoints;
+  }
+
+  private String prefix(String section) {
+    String prefix = text(section, "prefix", "amberpath/");
+    if (!prefix.matches("[A-Za-z0-9._-][A-Za-z0-9._/-]*/") || prefix.length() > PREFIX_LENGTH) {
+      throw wrong(section, "prefix", "not of letters, digits and ._-/ with a slash at its end: " + prefix);
+    }
+    return prefix;
+  }
+
+  private Faulty wrong(String section, String key, String what) {
+    return new Faulty(file + ": [" + section + "] " + key + ": " + what);
+  }
+
+  private String text(String section, String key, String absent) {
+    SubnodeConfiguration of = all.getSection(section);
+    String value = of.getString(key, absent);
+    if (value != null && value.isBlank() && absent != null && !absent.isBlank()) {
+      throw wrong(section, key, "empty");
+    }
+    return value == null ? null : value.strip();
+  }
+
+  private String choice(String section, String key, String absent, String... choices) {
+    String value = text(section, key, absent);
+    if (value == null) {
+      throw wrong(section, key, "missing; one of " + String.join(", ", choices));
+    }
+    if (!List.of(choices).contains(value)) {
+      throw wrong(section, key, "none of " + String.join(", ", choices) + ": " + value);
+    }
+    return value;
+  }
+
+  private Path path(String section, String key, boolean mustBe) {
+    String value = text(section, key, null);
+    if (value == null || value.isEmpty()) {
+      return null;
+    }
+    Path path = Path.of(value);
+    if (mustBe && !Files.isReadable(path)) {
+      throw wrong(section, key, "can't be read: " + value);
+    }
+    if (!mustBe && (path.toAbsolutePath().getParent() == null
+        || !Files.isDirectory(path.toAbsolutePath().getParent()))) {
+      throw wrong(section, key, "in no folder that is there: " + value);
+    }
+    return path;
+  }
+
+  private BigDecimal number(String section, String key, String absent, long least, long most) {
+    String value = text(section, key, absent);
+    try {
+      BigDecimal number = new BigDecimal(value);
+      if (number.compareTo(BigDecimal.valueOf(least)) >= 0 && number.compareTo(BigDecimal.valueOf(most)) <= 0) {
+        return number;
+      }
+    } catch (NumberFormatException e) {
+      // Said below.
+    }
+    throw wrong(section, key, "no number from " + least + " to " + most + ": " + value);
+  }
+
+  private long seconds(String section, String key, String absent, long least, long most) {
+    return number(section, key, absent, least, most).multiply(BigDecimal.valueOf(SECOND)).longValue();
+  }
+
+  private int whole(String section, String key, String absent, int least, int most) {
+    BigDecimal number = number(section, key, absent, least, most);
+    if (number.stripTrailingZeros().scale() > 0) {
+      throw wrong(section, key, "no whole number: " + number);
+    }
+    return number.intValue();
+  }
+}
--- /dev/null
+++ b/app/src/main/java/amberpath/cli/LabCommand.java
@@ -0,0 +1,151 @@
+package amberpath.cli;
+
+import amberpath.lab.Demo;
+import amberpath.lab.Experiment;
+import amberpath.lab.registry.RegistryDay;
+import amberpath.lab.registry.RegistryModel;
+import amberpath.lab.registry.RegistrySize;
+import amberpath.lab.registry.StandInRegistry;
+import amberpath.registry.live.RegistryAccess;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.http.HttpServerOptions;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Experiments on loopback or on a virtual clock. The last line of each is one JSON object. */
+@Command(name = "lab", mixinStandardHelpOptions = true, description = "Tries a gateway among stand-ins.",
+    synopsisSubcommandLabel = "EXPERIMENT", subcommands = {LabCommand.DemoCommand.class,
+        LabCommand.RegistryDayCommand.class, LabCommand.Model.class, LabCommand.Size.class,
+        LabCommand.StandIn.class})
+final class LabCommand {
+  /** Held here, since the runtime forgets a logger's level with the logger. */
+  private static final List<Logger> HUSHED = List.of(Logger.getLogger("amberpath"),
+      Logger.getLogger("amberpath.registry"), Logger.getLogger("amberpath.gateway.Complaints"),
+      Logger.getLogger("io.vertx"), Logger.getLogger("io.netty"));
+
+  /** What all experiments take. */
+  static class Common {
+    @Option(names = "--seed", defaultValue = "1", description = "Gives all chance. Default: ${DEFAULT-VALUE}.")
+    long seed;
+  }
+
+  private static int done(Experiment result) {
+    System.out.println(result.json());
+    return result.holds() ? AmberpathCommand.DONE : AmberpathCommand.MISSED;
+  }
+
+  /** Guards an experiment's own lines against those of a gateway in the same process. */
+  private static void quietly() {
+    HUSHED.get(0).setLevel(Level.WARNING);
+    HUSHED.subList(1, HUSHED.size()).forEach(one -> one.setLevel(Level.OFF));
+  }
+
+  @Command(name = "list", description = "The experiments, a line each.")
+  int list() {
+    System.out.println("""
+        demo            a gateway among stand-ins: a cache dies, one is drained; what came of each GET
+        registry        a gateway on sockets while its registry changes, compacts, lags and breaks off
+        registry-model  the registry's pure half on a virtual clock, faults in any order
+        registry-size   many caches, changes and watching clients on the virtual clock; a herd after an outage
+        standin         a stand-in to try things against: registry""");
+    return AmberpathCommand.DONE;
+  }
+
+  @Command(name = "demo", mixinStandardHelpOptions = true, description = "The main job, seen.")
+  static final class DemoCommand extends Common implements Callable<Integer> {
+    @Option(names = "--seconds", defaultValue = "9", description = "How long. Default: ${DEFAULT-VALUE}.")
+    private int seconds;
+
+    @Override public Integer call() throws Exception {
+      quietly();
+      return done(Demo.run(seed, seconds, System.out));
+    }
+  }
+
+  @Command(name = "registry", mixinStandardHelpOptions = true,
+      description = "A gateway on sockets while its registry changes and breaks off at random.")
+  static final class RegistryDayCommand extends Common implements Callable<Integer> {
+    @Option(names = "--seconds", defaultValue = "16", description = "How long. Default: ${DEFAULT-VALUE}.")
+    private int seconds;
+
+    @Option(names = "--form", defaultValue = "etcd", description = "etcd or consul. Default: ${DEFAULT-VALUE}.")
+    private String form;
+
+    @Override public Integer call() throws Exception {
+      quietly();
+      return done(RegistryDay.run(seed, seconds, RegistryAccess.Form.valueOf(form.toUpperCase(Locale.ROOT))));
+    }
+  }
+
+  @Command(name = "registry-model", mixinStandardHelpOptions = true,
+      description = "The registry's pure half on a virtual clock, each run from a seed of its own.")
+  static final class Model extends Common implements Callable<Integer> {
+    @Option(names = "--runs", defaultValue = "10000", description = "How many. Default: ${DEFAULT-VALUE}.")
+    private int runs;
+
+    @Override public Integer call() {
+      if (runs == 1) {
+        RegistryModel.Result result = RegistryModel.one(seed, System.out::println);
+        return done(new Experiment(seed).figure("missed", String.valueOf(result.missed()))
+            .bar("all bars", result.missed() == null));
+      }
+      long since = System.nanoTime();
+      Map<String, Object> sums = RegistryModel.runs(seed, runs);
+      Experiment result = new Experiment(seed);
+      sums.forEach(result::figure);
+      return done(result.figure("took_ms", (System.nanoTime() - since) / 1_000_000)
+          .bar("all bars in all runs", sums.get("failed").equals(0L)));
+    }
+  }
+
+  @Command(name = "registry-size", mixinStandardHelpOptions = true,
+      description = "Many caches, changes and watching clients, then all of them after an outage.")
+  static final class Size extends Common implements Callable<Integer> {
+    @Option(names = "--caches", defaultValue = "5000", description = "Default: ${DEFAULT-VALUE}.")
+    private int caches;
+
+    @Option(names = "--clients", defaultValue = "1000", description = "Default: ${DEFAULT-VALUE}.")
+    private int clients;
+
+    @Option(names = "--changes", defaultValue = "200", description = "A second. Default: ${DEFAULT-VALUE}.")
+    private int changes;
+
+    @Override public Integer call() {
+      return done(RegistrySize.run(seed, caches, clients, changes));
+    }
+  }
+
+  @Command(name = "standin", mixinStandardHelpOptions = true,
+      description = "Runs a stand-in registry until it is stopped; both forms, on the ports given.")
+  static final class StandIn implements Callable<Integer> {
+    @Parameters(paramLabel = "WHAT", description = "registry")
+    private String what;
+
+    @Option(names = "--ports", split = ",", defaultValue = "2379,2380,2381",
+        description = "One endpoint each. Default: ${DEFAULT-VALUE}.")
+    private int[] ports;
+
+    @Override public Integer call() throws Exception {
+      if (!what.equals("registry")) {
+        System.err.println("lab standin: registry");
+        return AmberpathCommand.USAGE;
+      }
+      Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+      StandInRegistry registry = new StandInRegistry(vertx, new HttpServerOptions());
+      for (int port : ports) {
+        int up = registry.open(port).toCompletionStage().toCompletableFuture().get().port();
+        System.out.println("stand-in registry at 127.0.0.1:" + up);
+      }
+      Thread.currentThread().join();
+      return AmberpathCommand.DONE;
+    }
+  }
+}
--- /dev/null
+++ b/app/src/main/java/amberpath/cli/RegistryCommand.java
@@ -0,0 +1,231 @@
+package amberpath.cli;
+
+import amberpath.Arrivals.State;
+import amberpath.Membership;
+import amberpath.json.Fields;
+import amberpath.registry.Content;
+import amberpath.registry.Held;
+import amberpath.registry.live.KeyForm;
+import amberpath.registry.live.RegistryAccess;
+import amberpath.registry.live.RegistryDesk;
+import amberpath.registry.live.RegistrySource;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.json.JsonObject;
+import java.nio.file.Path;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** What operators do at the registry. Each write is one transaction that fails if the key moved meanwhile. */
+@Command(name = "registry", mixinStandardHelpOptions = true, synopsisSubcommandLabel = "COMMAND",
+    description = "Reads and writes the registry of caches and purges.")
+final class RegistryCommand {
+  private static final long PATIENCE_S = 30;
+
+  @Option(names = "--file", required = true, defaultValue = "${AMBERPATH_FILE}", paramLabel = "INI",
+      description = "Settings with [registry]; AMBERPATH_FILE otherwise.")
+  private Path file;
+
+  @Option(names = "--json", description = "One JSON object a line.")
+  private boolean json;
+
+  /** What is done with a registry that answers. */
+  private interface Work {
+    Future<Integer> at(RegistryDesk desk, RegistryAccess access) throws Exception;
+  }
+
+  private RegistryAccess access() {
+    RegistryAccess access = DeploymentFile.read(file).registry();
+    if (access == null) {
+      throw new Fields.Malformed(file + ": [registry]: missing");
+    }
+    return access;
+  }
+
+  private int with(Work work) throws Exception {
+    RegistryAccess access = access();
+    Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+    try (RegistryDesk desk = new RegistryDesk(vertx, access)) {
+      return work.at(desk, access).toCompletionStage().toCompletableFuture().get(PATIENCE_S, TimeUnit.SECONDS);
+    } catch (ExecutionException e) {
+      System.err.println(e.getCause().getMessage());
+      return AmberpathCommand.FAILED;
+    } finally {
+      vertx.close();
+    }
+  }
+
+  @Command(name = "list", mixinStandardHelpOptions = true, description = "All caches and purges.")
+  int list() throws Exception {
+    return with((desk, access) -> desk.list().map(all -> {
+      all.forEach(held -> print(held, access.prefix()));
+      return AmberpathCommand.DONE;
+    }));
+  }
+
+  private void print(Held held, String prefix) {
+    String key = held.key().substring(prefix.length());
+    JsonObject line = new JsonObject().put("key", key).put("revision", held.changed());
+    if (held.content() instanceof Content.Cache cache) {
+      line.put("state", say(cache.state())).put("address", cache.address()).put("zone", cache.zone())
+          .put("kind", cache.kind()).put("weight", cache.weight());
+    } else if (held.content() instanceof Content.Purge purge) {
+      line.put("purge", purge.object() != 0 ? String.format("%016x", purge.object()) : "group " + purge.group())
+          .put("at_ms", purge.atMs());
+    } else if (held.content() instanceof Content.Unreadable unreadable) {
+      line.put("unreadable", unreadable.why());
+    } else {
+      return;
+    }
+    say(line);
+  }
+
+  private void say(JsonObject line) {
+    if (json) {
+      System.out.println(line.encode());
+    } else {
+      StringBuilder words = new StringBuilder();
+      line.forEach(field -> words.append(words.isEmpty() ? "" : "  ")
+          .append(field.getKey().equals("key") ? String.format("%-28s", field.getValue())
+              : field.getKey() + "=" + field.getValue()));
+      System.out.println(words);
+    }
+  }
+
+  private static String say(State state) {
+    return switch (state) {
+      case UP -> "ready";
+      case DRAINING -> "draining";
+      default -> "gone";
+    };
+  }
+
+  /** Changes a cache that is there. */
+  private int change(String id, State to) throws Exception {
+    return with((desk, access) -> desk.list().compose(all -> {
+      String key = access.prefix() + KeyForm.CACHES + id;
+      Held held = all.stream().filter(one -> one.key().equals(key)).findFirst().orElse(null);
+      if (held == null || !(held.content() instanceof Content.Cache was)) {
+        System.err.println(id + ": " + (held == null ? "no such cache" : "its value can't be read"));
+        return Future.succeededFuture(AmberpathCommand.FAILED);
+      }
+      Content.Cache now = to == State.GONE ? null : new Content.Cache(id, was.address(), was.zone(), was.kind(),
+          was.cell(), to, was.weight(), was.startedAtMs());
+      return desk.write(key, now, held.changed()).map(done -> written(id, say(to), done));
+    }));
+  }
+
+  private int written(String id, String what, boolean done) {
+    if (!done) {
+      System.err.println(id + ": nothing was written: its key moved meanwhile; look again");
+      return AmberpathCommand.FAILED;
+    }
+    say(new JsonObject().put("key", id).put("state", what));
+    return AmberpathCommand.DONE;
+  }
+
+  @Command(name = "drain", mixinStandardHelpOptions = true, description = "Nothing new goes to a cache.")
+  int drain(@Parameters(paramLabel = "ID") String id) throws Exception {
+    return change(id, State.DRAINING);
+  }
+
+  @Command(name = "ready", mixinStandardHelpOptions = true, description = "A drained cache takes GETs again.")
+  int ready(@Parameters(paramLabel = "ID") String id) throws Exception {
+    return change(id, State.UP);
+  }
+
+  @Command(name = "remove", mixinStandardHelpOptions = true, description = "A cache is gone; its id may come anew.")
+  int remove(@Parameters(paramLabel = "ID") String id) throws Exception {
+    return change(id, State.GONE);
+  }
+
+  @Command(name = "add", mixinStandardHelpOptions = true, description = "A cache that is not there yet.")
+  int add(@Parameters(paramLabel = "ID") String id,
+      @Option(names = "--address", required = true, description = "Numeric address:port.") String address,
+      @Option(names = "--zone", required = true, description = "The zone, as the site's settings name it.") String zone,
+      @Option(names = "--kind", required = true, description = "The kind, likewise.") String kind,
+      @Option(names = "--weight", defaultValue = "1", description = "Its size. Default: 1.") double weight,
+      @Option(names = "--cell", defaultValue = "0", description = "Its shelf. Default: 0.") int cell,
+      @Option(names = "--cold", description = "It has just started and holds nothing.") boolean cold)
+      throws Exception {
+    Content.Cache cache = new Content.Cache(id, address, zone, kind, cell, State.UP, weight,
+        cold ? System.currentTimeMillis() : 0);
+    String fault = KeyForm.fault(cache);
+    if (fault != null) {
+      System.err.println("add: gateways would not take that: " + fault);
+      return AmberpathCommand.USAGE;
+    }
+    return with((desk, access) -> desk.write(access.prefix() + KeyForm.CACHES + id, cache, 0)
+        .map(done -> written(id, "ready", done)));
+  }
+
+  @Command(name = "purge", mixinStandardHelpOptions = true,
+      description = "Copies of an object, or of a group, from before now are not returned any more.")
+  int purge(@Option(names = "--object", description = "Its id, hexadecimal.") String object,
+      @Option(names = "--group", defaultValue = "0", description = "Where no object is named.") int group)
+      throws Exception {
+    long id;
+    try {
+      id = object == null ? 0 : Long.parseUnsignedLong(object, 16);
+    } catch (NumberFormatException e) {
+      System.err.println("purge: --object: no hexadecimal id: " + object);
+      return AmberpathCommand.USAGE;
+    }
+    if (id == 0 && group <= 0) {
+      System.err.println("purge: --object or --group");
+      return AmberpathCommand.USAGE;
+    }
+    long now = System.currentTimeMillis();
+    String name = now + "-" + Long.toHexString(System.nanoTime());
+    return with((desk, access) -> desk.purge(name, new Content.Purge(id, group, now))
+        .map(done -> written(KeyForm.PURGES + name, "purged", done)));
+  }
+
+  @Command(name = "watch", mixinStandardHelpOptions = true,
+      description = "Follows the registry as a gateway does, and prints what it would be told.")
+  int watch(@Option(names = "--seconds", defaultValue = "0", description = "0: until it is stopped.") int seconds)
+      throws Exception {
+    RegistryAccess access = access();
+    Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+    vertx.getOrCreateContext().runOnContext(loop ->
+        new RegistrySource(vertx, access, new Printer(), System.nanoTime()).start());
+    Thread.sleep(seconds == 0 ? Long.MAX_VALUE : seconds * 1000L);
+    vertx.close().toCompletionStage().toCompletableFuture().get(PATIENCE_S, TimeUnit.SECONDS);
+    return AmberpathCommand.DONE;
+  }
+
+  /** Prints what a gateway would be told. */
+  private final class Printer implements Membership {
+    @Override public void listing(boolean whole) {
+      if (whole) {
+        say(new JsonObject().put("key", "list").put("whole", true));
+      }
+    }
+
+    @Override public void member(String id, String address, String zone, String kind, int cell, State state,
+        double weight, long startedAtMs) {
+      say(new JsonObject().put("key", id).put("state", say(state)).put("address", address).put("zone", zone)
+          .put("kind", kind).put("weight", weight));
+    }
+
+    @Override public void listed() {
+    }
+
+    @Override public void purged(long object, int group, long atMs) {
+      say(new JsonObject().put("key", "purge").put("object", String.format("%016x", object)).put("group", group)
+          .put("at_ms", atMs));
+    }
+
+    private String say(State state) {
+      return RegistryCommand.say(state);
+    }
+
+    private void say(JsonObject line) {
+      RegistryCommand.this.say(line);
+    }
+  }
+}
--- /dev/null
+++ b/app/src/test/java/amberpath/HouseTest.java
@@ -0,0 +1,72 @@
+package amberpath;
+
+import static com.tngtech.archunit.base.DescribedPredicate.describe;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.base.DescribedPredicate;
+import com.tngtech.archunit.core.domain.JavaClass;
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.domain.JavaMethodCall;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** What keeps the rooms of the house apart: arrows point one way, and what decides does no I/O and reads no clock. */
+class HouseTest {
+  private static final JavaClasses ALL = new ClassFileImporter()
+      .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("amberpath");
+  /** Every package that decides: a new subsystem's pure half is added here. */
+  private static final String[] PURE = {"amberpath", "amberpath.registry"};
+  private static final String[] TOOLS = {"amberpath.cli..", "amberpath.lab.."};
+  private static final String[] SOCKETS = {"amberpath.gateway..", "amberpath.msgpack..", "amberpath.resp..",
+      "amberpath.journal..", "amberpath.wire..", "amberpath.json.."};
+
+  /** Main is the way in and decides nothing. */
+  private static final DescribedPredicate<JavaClass> PURE_CLASS = describe("in a pure package",
+      one -> List.of(PURE).contains(one.getPackageName()) && !one.getName().equals("amberpath.Main"));
+
+  private static final DescribedPredicate<JavaClass> OUTSIDE = describe("does I/O, threads or sockets",
+      one -> {
+        String in = one.getPackageName(), name = one.getName();
+        return in.startsWith("io.") || in.startsWith("java.net") || in.startsWith("java.nio")
+            || in.startsWith("java.util.concurrent") || in.startsWith("java.util.logging") || in.startsWith("sun.")
+            || in.startsWith("com.") || in.startsWith("org.") || name.equals("java.lang.Thread")
+            || in.equals("java.io") && !name.equals("java.io.Serializable") && !name.startsWith("java.io.Print")
+            || name.equals("java.util.Random") || name.equals("java.time.Instant") || name.equals("java.time.Clock");
+      });
+
+  private static final DescribedPredicate<JavaMethodCall> CLOCK = describe("reads a clock or the environment",
+      call -> call.getTargetOwner().getName().equals("java.lang.System")
+          && Set.of("nanoTime", "currentTimeMillis", "getenv", "getProperty").contains(call.getName()));
+
+  @Test
+  void whatDecidesDoesNoInputOrOutput() {
+    noClasses().that(PURE_CLASS).should().dependOnClassesThat(OUTSIDE).check(ALL);
+  }
+
+  @Test
+  void whatDecidesIsToldTheTime() {
+    noClasses().that(PURE_CLASS).should().callMethodWhere(CLOCK).check(ALL);
+  }
+
+  @Test
+  void theCoreKnowsNothingElseOfTheHouse() {
+    noClasses().that(describe("of the core", one -> one.getPackageName().equals("amberpath")
+            && !one.getName().equals("amberpath.Main"))).should()
+        .dependOnClassesThat().resideInAnyPackage("amberpath.*..").check(ALL);
+  }
+
+  @Test
+  void theGatewayKnowsNoSubsystemAboveIt() {
+    noClasses().that().resideInAnyPackage(SOCKETS).should().dependOnClassesThat()
+        .resideInAnyPackage("amberpath.registry..", "amberpath.cli..", "amberpath.lab..").check(ALL);
+  }
+
+  @Test
+  void nothingButTheCommandLineKnowsTheLaboratory() {
+    noClasses().that().resideOutsideOfPackages(TOOLS).and().doNotHaveFullyQualifiedName("amberpath.Main").should()
+        .dependOnClassesThat().resideInAnyPackage(TOOLS).check(ALL);
+  }
+}
--- a/core/src/main/java/amberpath/Control.java
+++ b/core/src/main/java/amberpath/Control.java
@@ -252,7 +252,8 @@
 
   /** The oldest copy that will do. Guards against purged copies until all caches have dropped theirs. */
   private long age(Get get, long oldest) {
-    long purged = Math.max(purges.getOrDefault(get.object, 0L), purges.getOrDefault(~(long) get.group, 0L));
+    long purged = Math.max(purges.getOrDefault(get.object, 0L), Math.max(purges.getOrDefault(
+        ~(long) get.group, 0L), purges.getOrDefault(~(long) Membership.EVERYTHING, 0L)));
     long bound = Math.max(MS, now - purged - MS);
     return now - purged <= site.purgeTakes() && (oldest == 0 || bound < oldest) ? bound : oldest;
   }
--- a/gateway/src/main/java/amberpath/gateway/Clock.java
+++ b/gateway/src/main/java/amberpath/gateway/Clock.java
@@ -1,10 +1,11 @@
 package amberpath.gateway;
 
 /** Time that only goes forward, and what it makes of Unix times. */
-final class Clock {
+public final class Clock {
   private final long origin = System.currentTimeMillis() * 1_000_000L - System.nanoTime();
 
-  long now() {
+  /** Nanoseconds since the Unix epoch. */
+  public long now() {
     return System.nanoTime() + origin;
   }
 
--- a/gateway/src/main/java/amberpath/gateway/Gateway.java
+++ b/gateway/src/main/java/amberpath/gateway/Gateway.java
@@ -1,6 +1,8 @@
 package amberpath.gateway;
 
 import amberpath.Control;
+import amberpath.Membership;
+import amberpath.Strictest;
 import amberpath.journal.Entries;
 import amberpath.journal.JournalClient;
 import amberpath.json.Fields;
@@ -40,17 +42,25 @@
   private final Relay relay;
   private final Route route;
   private final TakeIn takeIn;
+  /** Null where another source tells of caches in its place. */
   private final JournalClient journal;
+  private final Membership journalNews;
+  private final NewsSource news;
   private final Entries entries = new Entries();
   private NetServer server;
   private long sweeper = -1, watch = -1;
   private volatile Phase phase = Phase.NEW;
 
   public Gateway(Vertx vertx, GatewayOptions options) {
-    this(vertx, options, new Control(options.site())::round);
+    this(vertx, options, null, new Control(options.site())::round);
   }
 
-  Gateway(Vertx vertx, GatewayOptions options, Route.Rounds decisions) {
+  /** A gateway that hears of caches from another source too, or only from there if its options name no journal. */
+  public Gateway(Vertx vertx, GatewayOptions options, NewsSource.Maker source) {
+    this(vertx, options, source, new Control(options.site())::round);
+  }
+
+  Gateway(Vertx vertx, GatewayOptions options, NewsSource.Maker source, Route.Rounds decisions) {
     this.vertx = vertx;
     context = vertx.getOrCreateContext();
     this.options = options;
@@ -64,8 +74,12 @@
     Admit admit = new Admit(options.site(), options.mostOpen(), book, route);
     takeIn = new TakeIn(clock, book, admit, route, relay, clients, complaints,
         () -> phase == Phase.SERVING && caches.told());
-    journal = new JournalClient(vertx, options.journal(), entries, caches, JournalClient.WAIT_MS,
-        options.unreadOfAll());
+    Strictest both = new Strictest(caches);
+    Membership sourceNews = source == null || options.journal() == null ? caches : both.port();
+    journalNews = source == null ? caches : both.port();
+    news = source == null ? null : source.make(vertx, sourceNews, options.site().seed());
+    journal = options.journal() == null ? null : new JournalClient(vertx, options.journal(), entries, journalNews,
+        JournalClient.WAIT_MS, options.unreadOfAll());
   }
 
   private void enter(Phase next) {
@@ -83,7 +97,9 @@
     context.runOnContext(loop -> {
       enter(Phase.STARTING);
       try {
-        entries.play(options.known(), caches);
+        if (journal != null) {
+          entries.play(options.known(), journalNews);
+        }
       } catch (Fields.Malformed e) {
         started.fail(e);
         return;
@@ -103,7 +119,12 @@
           server.close();
           return;
         }
-        journal.start();
+        if (journal != null) {
+          journal.start();
+        }
+        if (news != null) {
+          news.start();
+        }
         watch = standstill.watch(vertx);
         sweeper = vertx.setPeriodic(SWEEP_MS, sweep -> sweep());
         rehearsal.play(SocketAddress.inetSocketAddress(port(), options.listen().hostAddress()))
@@ -139,9 +160,14 @@
       if (phase == Phase.NEW || phase == Phase.STOPPED) {
         return;
       }
-      entries.play(next.known(), caches);
-      journal.moveTo(next.journal());
-      LOG.info(options.name() + ": the journal is asked at " + next.journal());
+      if (news != null) {
+        news.renewed();
+      }
+      if (journal != null) {
+        entries.play(next.known(), journalNews);
+        journal.moveTo(next.journal());
+        LOG.info(options.name() + ": the journal is asked at " + next.journal());
+      }
     }).<Void>mapEmpty().onFailure(e -> LOG.warning("SIGHUP: nothing changes: " + e.getMessage())).onComplete(taken));
     return taken.future();
   }
@@ -185,7 +211,12 @@
     enter(Phase.STOPPED);
     vertx.cancelTimer(sweeper);
     vertx.cancelTimer(watch);
-    journal.close();
+    if (journal != null) {
+      journal.close();
+    }
+    if (news != null) {
+      news.close();
+    }
     caches.close();
     // A client that does not read keeps nobody waiting.
     (server == null ? Future.<Void>succeededFuture() : server.close()).timeout(FLUSH_MS, TimeUnit.MILLISECONDS)
--- a/gateway/src/main/java/amberpath/gateway/GatewayOptions.java
+++ b/gateway/src/main/java/amberpath/gateway/GatewayOptions.java
@@ -29,11 +29,11 @@
   private final int wantsOnConnection, mostOpen, descriptors;
   private final long memory;
 
-  private GatewayOptions(Map<String, String> environment, Fields all) {
+  private GatewayOptions(Map<String, String> environment, Fields all, boolean withJournal) {
     name = environment.getOrDefault("PROXY_NAME", all.has("name") ? all.text("name") : "gateway");
     String address = environment.get("PROXY_LISTEN");
     listen = address != null ? address("PROXY_LISTEN", address) : address(all, "listen");
-    journal = address(all, "journal");
+    journal = withJournal ? address(all, "journal") : null;
     known = all.has("known") ? all.fields("known") : new Fields("known", Map.of());
     Fields limits = all.fieldsOr("limits");
     descriptors = atLeast(limits, "sockets", 1024, LEAST_DESCRIPTORS);
@@ -54,12 +54,17 @@
 
   /** Reads what the environment names. A message of {@link Fields.Malformed} names the faulty key. */
   public static GatewayOptions read(Map<String, String> environment) {
+    return read(environment, true);
+  }
+
+  /** The same; without a journal where caches are heard of from elsewhere. */
+  public static GatewayOptions read(Map<String, String> environment, boolean withJournal) {
     String path = environment.get("PROXY_CONFIG");
     if (path == null) {
       throw new Fields.Malformed("environment: PROXY_CONFIG is missing");
     }
     try (JsonParser parser = new JsonFactory().createParser(Files.readAllBytes(Path.of(path)))) {
-      return new GatewayOptions(environment, Fields.read("configuration", parser));
+      return new GatewayOptions(environment, Fields.read("configuration", parser), withJournal);
     } catch (JsonProcessingException e) {
       throw new Fields.Malformed("PROXY_CONFIG: " + path + " is not JSON: " + e.getOriginalMessage());
     } catch (IOException e) {
@@ -92,7 +97,7 @@
   }
 
   /** An address and port, already resolved: nothing is ever looked up. */
-  static SocketAddress address(String key, String text) {
+  public static SocketAddress address(String key, String text) {
     int colon = text.lastIndexOf(':');
     String host = colon < 0 ? "" : text.substring(0, colon).replace("[", "").replace("]", "");
     try {
@@ -114,6 +119,7 @@
     return listen;
   }
 
+  /** Null where none is asked. */
   public SocketAddress journal() {
     return journal;
   }
--- /dev/null
+++ b/gateway/src/main/java/amberpath/gateway/NewsSource.java
@@ -0,0 +1,22 @@
+package amberpath.gateway;
+
+import amberpath.Membership;
+import io.vertx.core.Vertx;
+
+/**
+ * A source of news of caches and purges beside the journal. It is called on the gateway's event loop, and tells on
+ * it.
+ */
+public interface NewsSource {
+  /** Makes the source of one gateway. */
+  interface Maker {
+    NewsSource make(Vertx vertx, Membership to, long seed);
+  }
+
+  void start();
+
+  /** SIGHUP came: files that it was told of may hold something else now. */
+  void renewed();
+
+  void close();
+}
--- a/gateway/src/main/java/amberpath/json/Fields.java
+++ b/gateway/src/main/java/amberpath/json/Fields.java
@@ -140,6 +140,18 @@
     return all;
   }
 
+  /** Reads the objects of the one array that a text holds. */
+  public static List<Fields> readEach(String name, JsonParser parser) throws IOException {
+    if (parser.nextToken() != JsonToken.START_ARRAY) {
+      throw new Malformed(name + ": not an array");
+    }
+    List<Fields> all = new Fields(name, Map.of("all", value(parser))).each("all");
+    if (parser.nextToken() != null) {
+      throw new Malformed(name + ": more than one value");
+    }
+    return all;
+  }
+
   private static Object value(JsonParser parser) throws IOException {
     switch (parser.currentToken()) {
       case START_OBJECT:
--- a/gateway/src/main/java/amberpath/msgpack/MessageReader.java
+++ b/gateway/src/main/java/amberpath/msgpack/MessageReader.java
@@ -9,11 +9,11 @@
 import org.msgpack.core.MessageUnpacker;
 
 /** Cuts what TCP brings into whole MessagePack values, wherever it was split or merged. */
-final class MessageReader implements Handler<Buffer> {
+public final class MessageReader implements Handler<Buffer> {
   private static final int MOST_VALUES = 512, KEPT = 16_384;
 
   /** Takes one whole value, which lies from start to end of a shared array. */
-  interface Sink {
+  public interface Sink {
     /** Returns false when nothing more is wanted. */
     boolean message(byte[] bytes, int start, int end);
 
@@ -26,7 +26,8 @@
   private int size;
   private boolean ended;
 
-  MessageReader(int longest, Sink sink) {
+  /** A value may hold longest bytes. */
+  public MessageReader(int longest, Sink sink) {
     this.longest = longest;
     this.sink = sink;
   }
--- a/gateway/src/main/java/amberpath/resp/ReplyReader.java
+++ b/gateway/src/main/java/amberpath/resp/ReplyReader.java
@@ -7,11 +7,12 @@
 import java.util.List;
 
 /** Reads RESP arrays of bulk strings. */
-final class ReplyReader implements Handler<Buffer> {
+public final class ReplyReader implements Handler<Buffer> {
   private static final int ELEMENTS = 16, LINE = 32, DIGITS = 10;
   private static final byte[] END = {'\r', '\n'};
 
-  interface Sink {
+  /** Takes what was read, or why nothing more will be. */
+  public interface Sink {
     void reply(List<Buffer> elements);
 
     void unreadable(String why);
@@ -24,7 +25,8 @@
   private int missing;
   private boolean inBulk, ended;
 
-  ReplyReader(int longest, Sink sink) {
+  /** A bulk string may hold longest bytes. */
+  public ReplyReader(int longest, Sink sink) {
     this.longest = longest;
     this.sink = sink;
     parser.maxRecordSize(LINE);
--- a/lab/src/main/java/amberpath/lab/registry/ModelRun.java
+++ b/lab/src/main/java/amberpath/lab/registry/ModelRun.java
@@ -1,17 +1,13 @@
 package amberpath.lab.registry;
 
 import amberpath.Arrivals.State;
-import amberpath.Membership;
 import amberpath.lab.registry.VirtualRegistry.Node;
 import amberpath.lab.registry.VirtualRegistry.Way;
 import amberpath.registry.Content;
 import amberpath.registry.RegistryView;
 import java.util.ArrayList;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -20,7 +16,7 @@
  * One run of the registry's pure half on a virtual clock: changes and faults in any order from a seed, with all bars
  * checked after each step. Everything in it follows from the seed alone.
  */
-final class ModelRun implements Membership {
+final class ModelRun {
   private static final long MS = VirtualRegistry.MS, SECOND = VirtualRegistry.SECOND;
   private static final long START = 1_700_000_000L * SECOND, BUSY = 20 * SECOND, QUIET = 5 * SECOND;
   private static final long RETENTION = 4 * SECOND, REACHED = 1250 * MS, DRAIN = 250 * MS, PURGE = 300 * MS;
@@ -41,14 +37,12 @@
   private final Agenda agenda = new Agenda(START);
   private final VirtualRegistry registry;
   private final VirtualRegistry.Client client;
-  private final Map<String, Content.Cache> told = new TreeMap<>();
+  private final ToldList told;
   private final List<Truth> truths = new ArrayList<>();
-  private final Map<Long, Long> purgedAt = new LinkedHashMap<>();
-  private final Set<Long> purgedHere = new HashSet<>();
   private final long busyUntil = START + BUSY;
-  private long everythingAt = Long.MIN_VALUE, purges;
-  private boolean listing, whole, dirty, restoring;
-  private long steps, drains, lists;
+  private long purges;
+  private boolean restoring;
+  private long steps, drains;
   private int fresh;
 
   ModelRun(long seed, Consumer<String> story) {
@@ -57,7 +51,10 @@
     registry = new VirtualRegistry(agenda, chance.nextInt(1, 5), blocking, chance.nextLong());
     Consumer<String> timed = line -> story.accept((agenda.now() - START) / 1000 + " us: " + line);
     registry.story = timed;
-    RegistryView view = new RegistryView(this, VirtualRegistry.TIP, MOST_KEYS, RETENTION, timed);
+    told = new ToldList(agenda::now, timed, what -> {
+      throw new Missed(what);
+    });
+    RegistryView view = new RegistryView(told, VirtualRegistry.TIP, MOST_KEYS, RETENTION, timed);
     client = registry.new Client(view, MOST_KEYS, chance.nextLong(), timed);
   }
 
@@ -80,7 +77,7 @@
       throw new Missed("quiet, but the view is at " + client.view.applied() + " of "
           + registry.history.revision() + ": " + client.recovery.phase());
     }
-    return Map.of("steps", steps, "drains", drains, "quiet_judged", judged ? 1L : 0L, "listings", lists);
+    return Map.of("steps", steps, "drains", drains, "quiet_judged", judged ? 1L : 0L, "listings", told.listings());
   }
 
   private long lastOfOurs() {
@@ -189,7 +186,7 @@
   private void duePurge(long object, long at, History<Content> of) {
     // What a restored registry never held, nobody can hear of.
     if (of != registry.history && !registry.history.now().containsKey(VirtualRegistry.PREFIX + "purges/" + object)
-        || purgedAt.getOrDefault(object, Long.MIN_VALUE) >= at || everythingAt >= at) {
+        || told.purgedSince(object, at)) {
       return;
     }
     if (registry.goodFor(REACHED) && !restoring) {
@@ -282,7 +279,7 @@
       agenda.at(agenda.now() + 1200 * MS + chance.nextLong(SECOND), () -> {
         restoring = false;
         registry.restore(backup);
-        purgedHere.clear();
+        told.otherHistory();
         truth();
         registry.nodes.forEach(node -> {
           node.slowness(0, 0);
@@ -302,10 +299,9 @@
   // ---- What is told, and the bars.
 
   private void check() {
-    if (!dirty) {
+    if (!told.changed()) {
       return;
     }
-    dirty = false;
     long revision = client.view.applied();
     for (int at = truths.size() - 1; at >= 0; at--) {
       // The last truth at or under the revision, in this history or one before it.
@@ -316,59 +312,17 @@
         return;
       }
     }
-    registry.story.accept("told: " + told);
+    registry.story.accept("told: " + told.caches());
     throw new Missed("what was told is no state of the registry at revision " + revision);
   }
 
   private boolean matches(Truth truth) {
     for (String id : truth.caches.keySet()) {
       Content.Cache cache = truth.caches.get(id);
-      if (cache != null && !cache.equals(told.get(id))) {
+      if (cache != null && !cache.equals(told.caches().get(id))) {
         return false;
       }
     }
-    return truth.caches.keySet().containsAll(told.keySet());
-  }
-
-  @Override public void listing(boolean all) {
-    if (listing) {
-      throw new Missed("a listing within a listing");
-    }
-    listing = true;
-    registry.story.accept("listing" + (all ? " of all" : "") + " at " + client.view.applied());
-    whole = all;
-    dirty = true;
-    lists++;
-    if (all) {
-      told.clear();
-      purgedHere.clear();
-    }
-  }
-
-  @Override public void member(String id, String address, String zone, String kind, int cell, State state,
-      double weight, long startedAtMs) {
-    Content.Cache cache = new Content.Cache(id, address, zone, kind, cell, state, weight, startedAtMs);
-    if (state == State.GONE) {
-      if (told.remove(id) == null) {
-        throw new Missed(id + " is told gone, and was not there");
-      }
-    } else if (cache.equals(told.put(id, cache)) && !whole) {
-      throw new Missed(id + " is told twice");
-    }
-  }
-
-  @Override public void listed() {
-    listing = false;
-  }
-
-  @Override public void purged(long object, int group, long atMs) {
-    registry.story.accept("told purge of " + object + ", group " + group);
-    if (group == EVERYTHING) {
-      everythingAt = agenda.now();
-    } else if (purgedHere.add(object)) {
-      purgedAt.put(object, agenda.now());
-    } else {
-      throw new Missed("purge " + object + " is told twice");
-    }
+    return truth.caches.keySet().containsAll(told.caches().keySet());
   }
 }
--- a/lab/src/main/java/amberpath/lab/registry/RegistryModel.java
+++ b/lab/src/main/java/amberpath/lab/registry/RegistryModel.java
@@ -27,7 +27,8 @@
 
   /** Sums over the runs from one seed on, and the first seeds that missed a bar, by at most ten lines. */
   public static Map<String, Object> runs(long seed, int runs) {
-    List<Result> results = LongStream.range(seed, seed + runs).parallel().mapToObj(each -> one(each, line -> { })).toList();
+    List<Result> results = LongStream.range(seed, seed + runs).parallel()
+        .mapToObj(each -> one(each, line -> { })).toList();
     Map<String, Object> sums = new TreeMap<>();
     List<String> missed = new ArrayList<>();
     int failed = 0;
--- /dev/null
+++ b/lab/src/main/java/amberpath/lab/registry/ToldList.java
@@ -0,0 +1,128 @@
+package amberpath.lab.registry;
+
+import amberpath.Arrivals.State;
+import amberpath.Membership;
+import amberpath.registry.Content;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+/** The caches as a registry's view has told them, and what is wrong with the way it did. */
+final class ToldList implements Membership {
+  private final LongSupplier clock;
+  private final Consumer<String> story, wrong;
+  private final Map<String, Content.Cache> caches = new TreeMap<>();
+  private final Map<Long, Long> purgedAt = new HashMap<>();
+  private final Set<Long> purgedHere = new HashSet<>();
+  private Membership next;
+  private long everythingAt = Long.MIN_VALUE, listings;
+  private boolean listing, whole, changed, purgedOften;
+
+  ToldList(LongSupplier clock, Consumer<String> story, Consumer<String> wrong) {
+    this.clock = clock;
+    this.story = story;
+    this.wrong = wrong;
+  }
+
+  /** One object may be purged more than once. */
+  ToldList purgedOften() {
+    purgedOften = true;
+    return this;
+  }
+
+  /** Passes all on to another listener too. */
+  ToldList to(Membership other) {
+    next = other;
+    return this;
+  }
+
+  /** Only for the thread that is told. */
+  Map<String, Content.Cache> caches() {
+    return caches;
+  }
+
+  /** For any thread. */
+  synchronized Map<String, State> states() {
+    Map<String, State> states = new TreeMap<>();
+    caches.forEach((id, cache) -> states.put(id, cache.state()));
+    return states;
+  }
+
+  long listings() {
+    return listings;
+  }
+
+  /** Whether a list has been told since this was asked last. */
+  boolean changed() {
+    boolean was = changed;
+    changed = false;
+    return was;
+  }
+
+  boolean purgedSince(long object, long at) {
+    return purgedAt.getOrDefault(object, Long.MIN_VALUE) >= at || everythingAt >= at;
+  }
+
+  /** The registry is another one from here on: what it had may be told again. */
+  void otherHistory() {
+    purgedHere.clear();
+  }
+
+  @Override public synchronized void listing(boolean all) {
+    if (listing) {
+      wrong.accept("a listing within a listing");
+    }
+    story.accept(all ? "listing of all" : "listing");
+    listing = true;
+    whole = all;
+    changed = true;
+    listings++;
+    if (all) {
+      caches.clear();
+      purgedHere.clear();
+    }
+    if (next != null) {
+      next.listing(all);
+    }
+  }
+
+  @Override public synchronized void member(String id, String address, String zone, String kind, int cell, State state,
+      double weight, long startedAtMs) {
+    Content.Cache cache = new Content.Cache(id, address, zone, kind, cell, state, weight, startedAtMs);
+    if (state == State.GONE) {
+      if (caches.remove(id) == null) {
+        wrong.accept(id + " is told gone, and was not there");
+      }
+    } else if (cache.equals(caches.put(id, cache)) && !whole) {
+      wrong.accept(id + " is told twice");
+    }
+    if (next != null) {
+      next.member(id, address, zone, kind, cell, state, weight, startedAtMs);
+    }
+  }
+
+  @Override public synchronized void listed() {
+    listing = false;
+    if (next != null) {
+      next.listed();
+    }
+  }
+
+  @Override public synchronized void purged(long object, int group, long atMs) {
+    story.accept("told purge of " + object + ", group " + group);
+    if (group == EVERYTHING) {
+      everythingAt = clock.getAsLong();
+    } else if (purgedHere.add(object) || purgedOften) {
+      purgedAt.put(object, clock.getAsLong());
+    } else {
+      wrong.accept("purge " + object + " is told twice");
+    }
+    if (next != null) {
+      next.purged(object, group, atMs);
+    }
+  }
+}
--- a/lab/src/main/java/amberpath/lab/registry/VirtualRegistry.java
+++ b/lab/src/main/java/amberpath/lab/registry/VirtualRegistry.java
@@ -18,8 +18,8 @@
 import java.util.function.Consumer;
 
 /**
- * Several endpoints over one history on a virtual clock, and clients that ask them. A call goes there and back in half a
- * millisecond to three, on every way that an endpoint may have.
+ * * Several endpoints over one history on a virtual clock, and clients that ask them. A call goes there and back
+ * in half a millisecond to three, on every way that an endpoint may have.
  */
 final class VirtualRegistry {
   static final String PREFIX = "p/", TIP = PREFIX + "tip";
--- a/registry/src/main/java/amberpath/registry/Recovery.java
+++ b/registry/src/main/java/amberpath/registry/Recovery.java
@@ -9,17 +9,21 @@
 import java.util.function.Consumer;
 
 /**
- * Decides what is asked of which endpoint, and when, so that the view stays what the registry holds: told what came and
- * when, it orders the next calls. It holds no socket, thread or clock. Times are nanoseconds.
+ * * Decides what is asked of which endpoint, and when, so that the view stays what the registry holds: told what
+ * came and when, it orders the next calls. It holds no socket, thread or clock. Times are nanoseconds.
  *
- * <p>Two watches on two endpoints tell each change; what is told once is passed over the second time. Beside them a pulse
- * asks every tenth of a second what the last write was, so that watches that fell silent are found out. Gaps are closed
- * by what was written since or, where keys may have been deleted or revisions given anew, by a whole list.
+ * <p>Two watches on two endpoints tell each change; what is told once is passed over the second time. Beside them
+ * a pulse asks every tenth of a second what the last write was, so that watches that fell silent are found out.
+ * Gaps are closed by what was written since or, where keys may have been deleted or revisions given anew, by a
+ * whole list.
  *
  * <p>Bounds: endpoints as told; a list, two watches and one pulse an endpoint open at once; connects a second.
  */
 public final class Recovery {
-  /** EMPTY: nothing known. CURRENT: as new as the last pulse. BEHIND: a gap is being closed. CUT_OFF: nobody answers. */
+  /**
+   * EMPTY: nothing known. CURRENT: as new as the last pulse. BEHIND: a gap is being closed. CUT_OFF: nobody
+   * answers.
+   */
   public enum Phase { EMPTY, CURRENT, BEHIND, CUT_OFF }
 
   /** What an answer tells of the one who gave it; revision 0 where it tells none. */
@@ -238,10 +242,20 @@
     if (ready.isEmpty()) {
       return;
     }
+    asked = refusals;
     // Guards against a slow endpoint that is kept, or a quick one never found: now and then another is asked.
-    Endpoint at = due && ++pulses % ASIDE == 0 ? ready.get(chance.nextInt(ready.size())) : ready.get(0);
+    Endpoint aside = due && ++pulses % ASIDE == 0 ? ready.get(chance.nextInt(ready.size())) : ready.get(0);
+    ask(now, aside);
+    ready.remove(aside);
+    if (!ready.isEmpty() && (watches() == 0 || endpoints.stream().anyMatch(one -> one.pulse != null
+        && now - one.pulse.sentAt >= hop))) {
+      // While contact is unsure, two are asked.
+      ask(now, ready.get(0));
+    }
+  }
+
+  private void ask(long now, Endpoint at) {
     Call call = call(Kind.PULSE, at, now, PULSE_TIME);
-    asked = refusals;
     if (call != null) {
       at.pulse = call;
       lastPulse = now;
@@ -301,7 +315,7 @@
 
   /** A call, or none while the budget of connects is used up. One to an endpoint that is in contact costs nothing. */
   private Call call(Kind kind, Endpoint at, long now, long time) {
-    if (now - at.heardAt > LONE || kind == Kind.WATCH) {
+    if (now - at.heardAt > LONE || kind == Kind.WATCH && !blocking) {
       long whole = (now - tokensAt) * CONNECTS / (1000 * MS);
       if (whole > 0) {
         tokens = Math.min(CONNECTS, tokens + whole);
@@ -329,13 +343,16 @@
     return ready;
   }
 
-  /** A watch that has not brought what a pulse told of is left: it is silent though open, or follows one that lags. */
+  /**
+   * A watch that has not brought what a pulse told of is left: it is silent though open, or follows one that lags.
+   */
   private void dropLate(long now) {
     if (now < tipSeenAt + LAG) {
       return;
     }
     for (Endpoint at : endpoints) {
-      if (at.watch != null && at.watch.open && at.watch.position < tipSeen && now >= Math.max(at.watch.openedAt, at.watch.sentAt) + LAG) {
+      if (at.watch != null && at.watch.open && at.watch.position < tipSeen
+          && now >= Math.max(at.watch.openedAt, at.watch.sentAt) + LAG) {
         Call late = at.watch;
         orders.drop(late.id);
         failed(now, late, Failure.LAGGING, 0);
@@ -539,7 +556,7 @@
     end(call);
     if (isOwn(now, call, header) && goesOn(now, call, header.revision(), -1) && !restored && !wholeNeeded) {
       if (header.revision() > view.applied()) {
-        view.whole(now, items, header.cluster(), header.revision(), now, false);
+        view.whole(now, items, header.cluster(), header.revision(), call.sentAt, false);
       }
       // Guards against a server that comes back at once for ever.
       if (now - call.sentAt < SETTLE) {
--- /dev/null
+++ b/registry/src/main/java/amberpath/registry/live/ConsulForm.java
@@ -0,0 +1,139 @@
+package amberpath.registry.live;
+
+import amberpath.json.Fields;
+import amberpath.json.Fields.Malformed;
+import amberpath.registry.Failure;
+import amberpath.registry.Held;
+import amberpath.registry.Recovery.Header;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import io.vertx.core.MultiMap;
+import io.vertx.core.http.HttpMethod;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+
+/**
+ * Consul's key-value store by HTTP, as its API pages have it: a read is held back until the index passes the one told,
+ * and brings all keys under the prefix. Reads are made consistent, so that an index that goes back is the registry's.
+ */
+final class ConsulForm implements Form {
+  private static final JsonFactory JSON = new JsonFactory();
+  private static final String INDEX = "X-Consul-Index", WHOLE_PREFIX = "?recurse=true&consistent=true";
+
+  private final String prefix;
+  private final long waitMs;
+
+  /** A read is held back for waitMs, and up to a sixteenth more, as the server's own jitter has it. */
+  ConsulForm(String prefix, long waitMs) {
+    this.prefix = prefix;
+    this.waitMs = waitMs;
+  }
+
+  private static Ask get(String uri) {
+    return new Ask(HttpMethod.GET, uri, null);
+  }
+
+  @Override public Ask list(long revision, String after, long since, int limit) {
+    return get("/v1/kv/" + prefix + WHOLE_PREFIX);
+  }
+
+  @Override public Page page(int status, MultiMap headers, byte[] body) {
+    long index = index(headers);
+    List<Held> items = new ArrayList<>();
+    if (status == 200) {
+      for (Fields one : each(body)) {
+        String key = one.text("Key");
+        if (!key.startsWith(prefix)) {
+          throw one.wrong("Key", "not under " + prefix);
+        }
+        items.add(new Held(key, KeyForm.read(key.substring(prefix.length()), EtcdForm.bytes(one, "Value")),
+            one.whole("CreateIndex"), one.whole("ModifyIndex")));
+      }
+    }
+    return new Page(new Header("", index), items, false, -1);
+  }
+
+  private static long index(MultiMap headers) {
+    try {
+      long index = Long.parseLong(headers.get(INDEX));
+      if (index > 0) {
+        return index;
+      }
+    } catch (NumberFormatException e) {
+      // Said below: also where there is none.
+    }
+    throw new Malformed("registry: no index above 0 in " + INDEX);
+  }
+
+  private static List<Fields> each(byte[] body) {
+    try (JsonParser parser = JSON.createParser(body)) {
+      return Fields.readEach("registry", parser);
+    } catch (IOException e) {
+      throw new Malformed("registry: not JSON");
+    }
+  }
+
+  @Override public Ask watch(long from) {
+    return get("/v1/kv/" + prefix + WHOLE_PREFIX + "&index=" + (from - 1) + "&wait=" + waitMs + "ms");
+  }
+
+  @Override public Frame frame(byte[] line) {
+    throw new Malformed("registry: no stream is asked for");
+  }
+
+  @Override public Ask pulse() {
+    return get("/v1/kv/" + prefix + KeyForm.TIP + "?consistent=true");
+  }
+
+  @Override public Tip tip(int status, MultiMap headers, byte[] body) {
+    List<Fields> found = status == 200 ? each(body) : List.of();
+    return new Tip(new Header("", 0), found.isEmpty() ? 0 : found.get(0).whole("ModifyIndex"));
+  }
+
+  @Override public boolean isCompacted(int status, byte[] body) {
+    return false;
+  }
+
+  @Override public Failure failure(int status, byte[] body) {
+    return switch (status) {
+      // Nothing stands under the prefix, or there is no tip yet.
+      case 200, 404 -> null;
+      case 401, 403 -> Failure.UNAUTHORISED;
+      case 429 -> Failure.THROTTLED;
+      default -> status >= 500 ? Failure.UNAVAILABLE : Failure.UNREADABLE;
+    };
+  }
+
+  @Override public Ask write(List<Write> writes, long lease, byte[] tip) {
+    return new Ask(HttpMethod.PUT, "/v1/txn", EtcdForm.json(to -> {
+      to.writeStartArray();
+      for (Write write : writes) {
+        verb(to, write.content() == null ? "delete-cas" : "cas", write.key(),
+            write.content() == null ? null : KeyForm.write(write.content()), write.changed());
+      }
+      verb(to, "set", prefix + KeyForm.TIP, tip, 0);
+      to.writeEndArray();
+    }));
+  }
+
+  private static void verb(JsonGenerator to, String verb, String key, byte[] value, long index) throws IOException {
+    to.writeStartObject();
+    to.writeObjectFieldStart("KV");
+    to.writeStringField("Verb", verb);
+    to.writeStringField("Key", key);
+    if (value != null) {
+      to.writeStringField("Value", new String(Base64.getEncoder().encode(value), StandardCharsets.ISO_8859_1));
+    }
+    to.writeNumberField("Index", index);
+    to.writeEndObject();
+    to.writeEndObject();
+  }
+
+  @Override public boolean written(int status, byte[] body) {
+    return status == 200;
+  }
+}
--- /dev/null
+++ b/registry/src/main/java/amberpath/registry/live/EtcdForm.java
@@ -0,0 +1,276 @@
+package amberpath.registry.live;
+
+import amberpath.json.Fields;
+import amberpath.json.Fields.Malformed;
+import amberpath.registry.Change;
+import amberpath.registry.Failure;
+import amberpath.registry.Held;
+import amberpath.registry.Recovery.Header;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import io.vertx.core.MultiMap;
+import io.vertx.core.http.HttpMethod;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+
+/**
+ * The JSON form of etcd's API, version 3 (rpc.proto and its HTTP annotations): bytes in base64, 64-bit numbers as
+ * strings, absent where they are zero; a watch is a stream of lines. Status codes are those that the published mapping
+ * of gRPC codes to HTTP gives.
+ */
+final class EtcdForm implements Form {
+  private static final JsonFactory JSON = new JsonFactory();
+  private static final int OUT_OF_RANGE = 11, UNAUTHENTICATED = 16, PERMISSION_DENIED = 7, EXHAUSTED = 8;
+
+  private final String prefix;
+
+  EtcdForm(String prefix) {
+    this.prefix = prefix;
+  }
+
+  /** Writes JSON to memory. */
+  interface Body {
+    void to(JsonGenerator json) throws IOException;
+  }
+
+  static byte[] json(Body body) {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    try (JsonGenerator to = JSON.createGenerator(out)) {
+      body.to(to);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return out.toByteArray();
+  }
+
+  private static Ask post(String uri, Body body) {
+    return new Ask(HttpMethod.POST, uri, json(to -> {
+      to.writeStartObject();
+      body.to(to);
+      to.writeEndObject();
+    }));
+  }
+
+  private static void bytes(JsonGenerator to, String name, String value) throws IOException {
+    to.writeStringField(name, Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8)));
+  }
+
+  /** The first key past all that begin with the prefix. */
+  private String end() {
+    return prefix.substring(0, prefix.length() - 1) + (char) (prefix.charAt(prefix.length() - 1) + 1);
+  }
+
+  @Override public Ask list(long revision, String after, long since, int limit) {
+    return post("/v3/kv/range", to -> {
+      // The least key after another one is that one with a zero byte.
+      bytes(to, "key", after.isEmpty() ? prefix : after + '\0');
+      bytes(to, "range_end", end());
+      to.writeStringField("limit", Integer.toString(limit));
+      to.writeStringField("revision", Long.toString(revision));
+      to.writeStringField("min_mod_revision", Long.toString(since));
+    });
+  }
+
+  @Override public Page page(int status, MultiMap headers, byte[] body) {
+    Fields answer = read(body);
+    List<Held> items = new ArrayList<>();
+    for (Fields kv : answer.each("kvs")) {
+      items.add(held(kv));
+    }
+    return new Page(header(answer), items, answer.flag("more"), wide(answer, "count"));
+  }
+
+  @Override public Ask watch(long from) {
+    return post("/v3/watch", to -> {
+      to.writeObjectFieldStart("create_request");
+      bytes(to, "key", prefix);
+      bytes(to, "range_end", end());
+      to.writeStringField("start_revision", Long.toString(from));
+      to.writeBooleanField("progress_notify", true);
+      to.writeBooleanField("fragment", true);
+      to.writeEndObject();
+    });
+  }
+
+  @Override public Frame frame(byte[] line) {
+    Fields all = read(line);
+    if (all.has("error")) {
+      Fields error = all.fields("error");
+      return new Frame.Ended(ofCode(error.place("grpc_code", error.place("code", 0))));
+    }
+    Fields result = all.fields("result");
+    if (wide(result, "compact_revision") > 0) {
+      return new Frame.Compacted();
+    }
+    if (result.flag("canceled")) {
+      return new Frame.Ended(Failure.BROKEN);
+    }
+    if (result.flag("created")) {
+      return new Frame.Opened(header(result));
+    }
+    List<Change> changes = new ArrayList<>();
+    for (Fields event : result.each("events")) {
+      Fields kv = event.fields("kv");
+      boolean deleted = event.has("type") && event.text("type").equals("DELETE");
+      changes.add(new Change(wide(kv, "mod_revision"), key(kv), deleted ? null : held(kv)));
+    }
+    return new Frame.Told(header(result), changes, result.flag("fragment"));
+  }
+
+  @Override public Ask pulse() {
+    return post("/v3/kv/range", to -> {
+      bytes(to, "key", prefix + KeyForm.TIP);
+      to.writeBooleanField("keys_only", true);
+    });
+  }
+
+  @Override public Tip tip(int status, MultiMap headers, byte[] body) {
+    Fields answer = read(body);
+    List<Fields> kvs = answer.each("kvs");
+    return new Tip(header(answer), kvs.isEmpty() ? 0 : wide(kvs.get(0), "mod_revision"));
+  }
+
+  @Override public boolean isCompacted(int status, byte[] body) {
+    return status == 400 && code(body) == OUT_OF_RANGE;
+  }
+
+  @Override public Failure failure(int status, byte[] body) {
+    return switch (status) {
+      case 200 -> null;
+      case 401, 403 -> Failure.UNAUTHORISED;
+      case 429 -> Failure.THROTTLED;
+      case 400 -> ofCode(code(body));
+      default -> status >= 500 ? Failure.UNAVAILABLE : Failure.UNREADABLE;
+    };
+  }
+
+  private static int code(byte[] body) {
+    try {
+      return read(body).place("code", 0);
+    } catch (Malformed e) {
+      return 0;
+    }
+  }
+
+  private static Failure ofCode(int code) {
+    return switch (code) {
+      case UNAUTHENTICATED, PERMISSION_DENIED -> Failure.UNAUTHORISED;
+      case EXHAUSTED -> Failure.THROTTLED;
+      default -> Failure.UNAVAILABLE;
+    };
+  }
+
+  @Override public Ask write(List<Write> writes, long lease, byte[] tip) {
+    return post("/v3/kv/txn", to -> {
+      to.writeArrayFieldStart("compare");
+      for (Write write : writes) {
+        to.writeStartObject();
+        bytes(to, "key", write.key());
+        to.writeStringField("target", "MOD");
+        to.writeStringField("result", "EQUAL");
+        to.writeStringField("mod_revision", Long.toString(write.changed()));
+        to.writeEndObject();
+      }
+      to.writeEndArray();
+      to.writeArrayFieldStart("success");
+      for (Write write : writes) {
+        to.writeStartObject();
+        to.writeObjectFieldStart(write.content() == null ? "request_delete_range" : "request_put");
+        bytes(to, "key", write.key());
+        if (write.content() != null) {
+          to.writeBinaryField("value", KeyForm.write(write.content()));
+          to.writeStringField("lease", Long.toString(lease));
+        }
+        to.writeEndObject();
+        to.writeEndObject();
+      }
+      to.writeStartObject();
+      to.writeObjectFieldStart("request_put");
+      bytes(to, "key", prefix + KeyForm.TIP);
+      to.writeBinaryField("value", tip);
+      to.writeEndObject();
+      to.writeEndObject();
+      to.writeEndArray();
+    });
+  }
+
+  @Override public boolean written(int status, byte[] body) {
+    return status == 200 && read(body).flag("succeeded");
+  }
+
+  /** A lease of so many seconds. */
+  static Ask grant(long seconds) {
+    return post("/v3/lease/grant", to -> to.writeStringField("TTL", Long.toString(seconds)));
+  }
+
+  static long granted(byte[] body) {
+    return wide(read(body), "ID");
+  }
+
+  static Ask login(String user, String password) {
+    return post("/v3/auth/authenticate", to -> {
+      to.writeStringField("name", user);
+      to.writeStringField("password", password);
+    });
+  }
+
+  static String loggedIn(byte[] body) {
+    return read(body).text("token");
+  }
+
+  private static Fields read(byte[] body) {
+    try (JsonParser parser = JSON.createParser(body)) {
+      return Fields.read("registry", parser);
+    } catch (IOException e) {
+      throw new Malformed("registry: not JSON");
+    }
+  }
+
+  private static Header header(Fields answer) {
+    Fields header = answer.fields("header");
+    return new Header(header.has("cluster_id") ? header.text("cluster_id") : "", wide(header, "revision"));
+  }
+
+  private Held held(Fields kv) {
+    String key = key(kv);
+    return new Held(key, KeyForm.read(key.substring(prefix.length()), bytes(kv, "value")),
+        wide(kv, "create_revision"), wide(kv, "mod_revision"));
+  }
+
+  private String key(Fields kv) {
+    String key = new String(bytes(kv, "key"), StandardCharsets.UTF_8);
+    if (!key.startsWith(prefix)) {
+      throw kv.wrong("key", "not under " + prefix);
+    }
+    return key;
+  }
+
+  static byte[] bytes(Fields from, String name) {
+    try {
+      return from.has(name) ? Base64.getDecoder().decode(from.text(name)) : new byte[0];
+    } catch (IllegalArgumentException e) {
+      throw from.wrong(name, "not base64");
+    }
+  }
+
+  private static long wide(Fields from, String name) {
+    if (!from.has(name)) {
+      return 0;
+    }
+    try {
+      long value = Long.parseLong(from.text(name));
+      if (value >= 0) {
+        return value;
+      }
+    } catch (NumberFormatException e) {
+      // Said below.
+    }
+    throw from.wrong(name, "no 64-bit number from 0 on");
+  }
+}
--- /dev/null
+++ b/registry/src/main/java/amberpath/registry/live/Form.java
@@ -0,0 +1,69 @@
+package amberpath.registry.live;
+
+import amberpath.registry.Change;
+import amberpath.registry.Content;
+import amberpath.registry.Failure;
+import amberpath.registry.Held;
+import amberpath.registry.Recovery.Header;
+import io.vertx.core.MultiMap;
+import io.vertx.core.http.HttpMethod;
+import java.util.List;
+
+/** The codec of one published protocol: where its words end. What can't be read is a Malformed of the JSON fields. */
+interface Form {
+  /** A request to be sent; body null for none. */
+  record Ask(HttpMethod method, String uri, byte[] body) {
+  }
+
+  /** A part of a list; count as {@link amberpath.registry.Recovery#page} has it. */
+  record Page(Header header, List<Held> items, boolean more, long count) {
+  }
+
+  /** The answer to a pulse. */
+  record Tip(Header header, long tip) {
+  }
+
+  /** What a line of a watch's stream says. */
+  sealed interface Frame {
+    record Opened(Header header) implements Frame {
+    }
+
+    record Told(Header header, List<Change> changes, boolean partial) implements Frame {
+    }
+
+    record Compacted() implements Frame {
+    }
+
+    record Ended(Failure why) implements Frame {
+    }
+  }
+
+  /** One key's write in a transaction; content null deletes. It holds only if the key was last written at changed. */
+  record Write(String key, Content content, long changed) {
+  }
+
+  Ask list(long revision, String after, long since, int limit);
+
+  Page page(int status, MultiMap headers, byte[] body);
+
+  /** A stream of lines for one form, a read that is held back for the other. */
+  Ask watch(long from);
+
+  Frame frame(byte[] line);
+
+  Ask pulse();
+
+  Tip tip(int status, MultiMap headers, byte[] body);
+
+  /** Whether an answer says that a revision is compacted. */
+  boolean isCompacted(int status, byte[] body);
+
+  /** Why an answer of this status is no answer; null where it is one. */
+  Failure failure(int status, byte[] body);
+
+  /** A transaction: all writes and one to the tip, or none. A lease of 0 is none. */
+  Ask write(List<Write> writes, long lease, byte[] tip);
+
+  /** Whether it was carried out; false where a key had moved meanwhile. */
+  boolean written(int status, byte[] body);
+}
--- /dev/null
+++ b/registry/src/main/java/amberpath/registry/live/KeyForm.java
@@ -0,0 +1,122 @@
+package amberpath.registry.live;
+
+import amberpath.Arrivals.State;
+import amberpath.gateway.GatewayOptions;
+import amberpath.json.Fields;
+import amberpath.registry.Content;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+/**
+ * Keys and values, version 1, as docs/operate/registry.md has them. A value that can't be read is {@link
+ * Content.Unreadable}, never an exception.
+ */
+public final class KeyForm {
+  public static final String CACHES = "caches/", PURGES = "purges/", TIP = "tip";
+  private static final int VERSION = 1, LONGEST_VALUE = 4096, LONGEST_NAME = 128;
+  private static final JsonFactory JSON = new JsonFactory();
+
+  private KeyForm() {
+  }
+
+  /** Reads what stands under a key, given without the prefix. */
+  static Content read(String key, byte[] value) {
+    if (!key.startsWith(CACHES) && !key.startsWith(PURGES)) {
+      return new Content.Other();
+    }
+    if (value.length > LONGEST_VALUE) {
+      return new Content.Unreadable("a value of " + value.length + " bytes");
+    }
+    try (JsonParser parser = JSON.createParser(value)) {
+      Fields fields = Fields.read("value", parser);
+      if (fields.whole("v") != VERSION) {
+        return new Content.Unreadable("version " + fields.whole("v"));
+      }
+      return key.startsWith(CACHES) ? cache(key.substring(CACHES.length()), fields) : purge(fields);
+    } catch (IOException e) {
+      return new Content.Unreadable("not JSON");
+    } catch (Fields.Malformed e) {
+      return new Content.Unreadable(e.getMessage());
+    }
+  }
+
+  private static Content cache(String id, Fields fields) {
+    State state = switch (fields.text("state")) {
+      case "ready" -> State.UP;
+      case "draining" -> State.DRAINING;
+      default -> throw fields.wrong("state", "neither ready nor draining");
+    };
+    String address = fields.text("address");
+    GatewayOptions.address("value: field 'address' is", address);
+    double weight = fields.numberOr("weight", 1);
+    if (!(weight > 0) || Double.isInfinite(weight)) {
+      throw fields.wrong("weight", "no size");
+    }
+    return new Content.Cache(name(fields, "id", id), address, name(fields, "zone", fields.text("zone")),
+        name(fields, "kind", fields.text("kind")), fields.place("cell", 0), state, weight,
+        fields.wholeOr("started_at_ms", 0));
+  }
+
+  private static String name(Fields fields, String key, String name) {
+    if (name.isEmpty() || name.length() > LONGEST_NAME || name.chars().anyMatch(one -> one <= ' ' || one == ',')) {
+      throw fields.wrong(key, "no name");
+    }
+    return name;
+  }
+
+  private static Content purge(Fields fields) {
+    long object = 0;
+    if (fields.has("object")) {
+      try {
+        object = Long.parseUnsignedLong(fields.text("object"), 16);
+      } catch (NumberFormatException e) {
+        throw fields.wrong("object", "not an object's id");
+      }
+    }
+    if (object == 0 && !fields.has("group")) {
+      throw fields.wrong("object", "missing, and so is 'group'");
+    }
+    int group = fields.place("group", 0);
+    if (group < 0) {
+      throw fields.wrong("group", "negative");
+    }
+    return new Content.Purge(object, group, fields.whole("at_ms"));
+  }
+
+  /** Why gateways would not read this of a cache; null where they would. */
+  public static String fault(Content.Cache cache) {
+    return read(CACHES + cache.id(), write(cache)) instanceof Content.Unreadable unreadable ? unreadable.why() : null;
+  }
+
+  /** The value that says this of a cache or a purge. */
+  public static byte[] write(Content content) {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    try (JsonGenerator to = JSON.createGenerator(out)) {
+      to.writeStartObject();
+      to.writeNumberField("v", VERSION);
+      if (content instanceof Content.Cache cache) {
+        to.writeStringField("address", cache.address());
+        to.writeStringField("zone", cache.zone());
+        to.writeStringField("kind", cache.kind());
+        to.writeNumberField("cell", cache.cell());
+        to.writeStringField("state", cache.state() == State.UP ? "ready" : "draining");
+        to.writeNumberField("weight", cache.weight());
+        to.writeNumberField("started_at_ms", cache.startedAtMs());
+      } else if (content instanceof Content.Purge purge) {
+        if (purge.object() != 0) {
+          to.writeStringField("object", String.format("%016x", purge.object()));
+        }
+        to.writeNumberField("group", purge.group());
+        to.writeNumberField("at_ms", purge.atMs());
+      }
+      to.writeEndObject();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return out.toByteArray();
+  }
+}
--- /dev/null
+++ b/registry/src/main/java/amberpath/registry/live/RegistryDesk.java
@@ -0,0 +1,151 @@
+package amberpath.registry.live;
+
+import amberpath.registry.Content;
+import amberpath.registry.Failure;
+import amberpath.registry.Held;
+import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Reads and writes a registry for people: each read from the first endpoint that answers, each write one transaction
+ * together with the tip, which is not tried again when it may have been carried out.
+ */
+public final class RegistryDesk implements AutoCloseable {
+  private static final int PAGE = 1000, MOST_WRITES = 32;
+  private static final long PATIENCE_MS = 3000, SECOND = 1_000_000_000;
+
+  /** What a person is told when nothing can be read or written. */
+  public static final class Refused extends RuntimeException {
+    Refused(String message) {
+      super(message);
+    }
+  }
+
+  private record Got(int status, MultiMap headers, byte[] body) {
+  }
+
+  private final RegistryAccess access;
+  private final Form form;
+  private final Wires wires;
+
+  public RegistryDesk(Vertx vertx, RegistryAccess access) {
+    this.access = access;
+    form = RegistrySource.form(access);
+    wires = new Wires(vertx, access, form);
+  }
+
+  /** All keys at one revision; fails with what staff can act on. */
+  public Future<List<Held>> list() {
+    return list(0);
+  }
+
+  private Future<List<Held>> list(int endpoint) {
+    return pages(endpoint, 0, "", new ArrayList<>()).recover(e -> endpoint + 1 < access.endpoints().size()
+        ? list(endpoint + 1) : Future.failedFuture(e));
+  }
+
+  private Future<List<Held>> pages(int endpoint, long revision, String after, List<Held> all) {
+    return ask(endpoint, form.list(revision, after, 0, PAGE)).compose(got -> {
+      Form.Page page = form.page(got.status, got.headers, got.body);
+      all.addAll(page.items());
+      if (all.size() > access.mostKeys()) {
+        return Future.failedFuture(new Refused("more than " + access.mostKeys() + " keys"));
+      }
+      if (!page.more() || page.items().isEmpty()) {
+        return Future.succeededFuture(all);
+      }
+      return pages(endpoint, revision == 0 ? page.header().revision() : revision,
+          page.items().get(page.items().size() - 1).key(), all);
+    });
+  }
+
+  /**
+   * Writes keys and the tip, or nothing.
+   *
+   * @param leased whether the keys go by themselves after the retention, where the registry can do that
+   * @return whether nothing had moved meanwhile
+   */
+  private Future<Boolean> write(List<Form.Write> writes, boolean leased) {
+    byte[] tip = (System.currentTimeMillis() + " " + Long.toHexString(System.nanoTime()))
+        .getBytes(StandardCharsets.US_ASCII);
+    boolean grants = leased && access.form() == RegistryAccess.Form.ETCD;
+    return reached(0).compose(endpoint -> {
+      Future<Long> lease = grants ? ask(endpoint, EtcdForm.grant(access.retention() / SECOND))
+          .map(got -> EtcdForm.granted(got.body)) : Future.succeededFuture(0L);
+      return lease.compose(id -> ask(endpoint, form.write(writes, id, tip)))
+          .map(got -> form.written(got.status, got.body));
+    });
+  }
+
+  /** Changes one key from what it was when it was read, or makes it: 0 for a key that is not there. */
+  public Future<Boolean> write(String key, Content content, long changed) {
+    return write(List.of(new Form.Write(key, content, changed)), false);
+  }
+
+  /**
+   * Writes a purge that stays for the retention; those that are past it go with it where nothing else lets them
+   * go.
+   */
+  public Future<Boolean> purge(String name, Content.Purge purge) {
+    Form.Write made = new Form.Write(access.prefix() + KeyForm.PURGES + name, purge, 0);
+    if (access.form() == RegistryAccess.Form.ETCD) {
+      return write(List.of(made), true);
+    }
+    return list().compose(all -> {
+      List<Form.Write> writes = new ArrayList<>(List.of(made));
+      for (Held held : all) {
+        if (held.content() instanceof Content.Purge old && writes.size() < MOST_WRITES
+            && (purge.atMs() - old.atMs()) * (SECOND / 1000) > access.retention()) {
+          writes.add(new Form.Write(held.key(), null, held.changed()));
+        }
+      }
+      return write(writes, false);
+    });
+  }
+
+  /** The first endpoint that answers a read. */
+  private Future<Integer> reached(int endpoint) {
+    return ask(endpoint, form.pulse()).map(endpoint).recover(e -> endpoint + 1 < access.endpoints().size()
+        ? reached(endpoint + 1) : Future.failedFuture(e));
+  }
+
+  private Future<Got> ask(int endpoint, Form.Ask ask) {
+    Promise<Got> got = Promise.promise();
+    Wires.Sent sent = wires.send(endpoint, ask, false, new Wires.Answer() {
+      @Override public void whole(int status, MultiMap headers, byte[] body) {
+        got.tryComplete(new Got(status, headers, body));
+      }
+
+      @Override public void failed(Failure why, long retryAfter) {
+        got.tryFail(new Refused(access.endpoints().get(endpoint) + ": " + say(why)));
+      }
+    });
+    return got.future().timeout(PATIENCE_MS, TimeUnit.MILLISECONDS).recover(e -> {
+      sent.drop();
+      return Future.failedFuture(e instanceof Refused ? e : new Refused(access.endpoints().get(endpoint)
+          + ": no answer in " + PATIENCE_MS + " ms; a write may have been carried out"));
+    });
+  }
+
+  private static String say(Failure why) {
+    return switch (why) {
+      case REFUSED -> "nothing listens there";
+      case SILENT -> "no connection in time";
+      case UNAUTHORISED -> "it does not take this token or user";
+      case UNTRUSTED -> "no TLS connection: look at trust, certificate and key";
+      case UNAVAILABLE -> "it can't serve now";
+      case THROTTLED -> "it asks for fewer calls";
+      default -> "the connection broke, or what came can't be read";
+    };
+  }
+
+  @Override public void close() {
+    wires.close();
+  }
+}
--- /dev/null
+++ b/registry/src/main/java/amberpath/registry/live/RegistrySource.java
@@ -0,0 +1,281 @@
+package amberpath.registry.live;
+
+import amberpath.Membership;
+import amberpath.gateway.Clock;
+import amberpath.gateway.NewsSource;
+import amberpath.json.Fields;
+import amberpath.registry.Failure;
+import amberpath.registry.Orders;
+import amberpath.registry.Recovery;
+import amberpath.registry.RegistryView;
+import amberpath.registry.Snapshot;
+import io.vertx.core.Vertx;
+import io.vertx.core.MultiMap;
+import java.nio.file.Files;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.logging.Logger;
+
+/**
+ * A registry as a gateway's source of news: carries out what {@link Recovery} orders and tells it what came. All of it
+ * runs on the event loop that starts it.
+ */
+public final class RegistrySource implements NewsSource, Orders {
+  private static final Logger LOG = Logger.getLogger(RegistrySource.class.getName());
+  private static final long BLOCKING = 10_000_000_000L, MS = 1_000_000;
+  private static final int LOG_LINES = 8;
+  private static final long LOG_MS = 1000;
+
+  /** What staff may want to know of the view. Ages are nanoseconds, the revision the registry's. */
+  public record Status(Recovery.Phase phase, boolean known, long revision, long age, int keys, int watches) {
+  }
+
+  private final Vertx vertx;
+  private final RegistryAccess access;
+  private final Clock clock = new Clock();
+  private final Form form;
+  private final Wires wires;
+  private final RegistryView view;
+  private final Recovery recovery;
+  private final Map<Long, Wires.Sent> calls = new HashMap<>();
+  private long timer = -1, ticker = -1, armedFor = Long.MAX_VALUE, keptAt;
+  private int lines, muted;
+  private boolean running, keeping;
+
+  /** Makes a source that has asked for nothing yet; the seed gives all its chance. */
+  public RegistrySource(Vertx vertx, RegistryAccess access, Membership to, long seed) {
+    this.vertx = vertx;
+    this.access = access;
+    boolean blocking = access.form() == RegistryAccess.Form.CONSUL;
+    form = form(access);
+    wires = new Wires(vertx, access, form);
+    view = new RegistryView(to, access.tipKey(), access.mostKeys(), access.retention(), this::note);
+    // The server may hold a read for a sixteenth longer than it is asked to.
+    recovery = new Recovery(view, this, access.endpoints().size(), access.mostKeys(),
+        blocking ? BLOCKING + BLOCKING / 16 : 0, seed, this::note);
+  }
+
+  static Form form(RegistryAccess access) {
+    return access.form() == RegistryAccess.Form.ETCD ? new EtcdForm(access.prefix())
+        : new ConsulForm(access.prefix(), BLOCKING / MS);
+  }
+
+  /** Guards the log against a registry that gives cause for a line with every call. */
+  private void note(String line) {
+    if (lines < LOG_LINES) {
+      lines++;
+      LOG.info("registry: " + line.substring(0, Math.min(line.length(), 200)));
+    } else {
+      muted++;
+    }
+  }
+
+  @Override public void start() {
+    running = true;
+    ticker = vertx.setPeriodic(LOG_MS, tick -> {
+      if (muted > 0) {
+        LOG.info("registry: " + muted + " more lines");
+      }
+      lines = muted = 0;
+      keep();
+    });
+    if (access.snapshot() == null) {
+      begin();
+      return;
+    }
+    vertx.executeBlocking(() -> Files.exists(access.snapshot())
+        ? SnapshotFile.read(access.snapshot(), access.longestAnswer()) : null).onComplete(read -> {
+          if (read.failed()) {
+            LOG.warning("registry: the snapshot is passed over: " + read.cause().getMessage());
+          } else if (read.result() != null) {
+            remember(read.result());
+          }
+          begin();
+        });
+  }
+
+  private void remember(Snapshot kept) {
+    long now = clock.now();
+    String refusal = kept.refusal(now, access.prefix(), access.snapshotOldest());
+    if (refusal != null) {
+      LOG.warning("registry: the snapshot is passed over: " + refusal);
+    } else {
+      view.remember(now, kept.keys(), kept.cluster(), kept.revision(), kept.provenAt());
+      LOG.info("registry: serves from a snapshot of revision " + kept.revision() + ", "
+          + (now - kept.provenAt()) / MS + " ms old");
+    }
+  }
+
+  private void begin() {
+    if (running) {
+      recovery.start(clock.now());
+      arm();
+    }
+  }
+
+  @Override public void renewed() {
+    wires.renewed().onComplete(done -> {
+      if (done.failed()) {
+        LOG.warning("registry: the files for TLS can't be taken; those read before stay");
+      }
+      if (running) {
+        recovery.renewed(clock.now());
+        arm();
+      }
+    });
+  }
+
+  @Override public void close() {
+    running = false;
+    vertx.cancelTimer(timer);
+    vertx.cancelTimer(ticker);
+    calls.values().forEach(Wires.Sent::drop);
+    calls.clear();
+    wires.close();
+  }
+
+  /** The view as it stands. */
+  public Status status() {
+    return new Status(recovery.phase(), view.known(), view.applied(), Math.max(0, clock.now() - view.provenAt()),
+        view.size(), recovery.watches());
+  }
+
+  /** Wakes the recovery when it wants to be; one timer at a time. */
+  private void arm() {
+    long due = recovery.due();
+    if (due == armedFor || !running) {
+      return;
+    }
+    vertx.cancelTimer(timer);
+    armedFor = due;
+    long delay = Math.max(1, (due - clock.now() + MS - 1) / MS);
+    timer = vertx.setTimer(delay, now -> {
+      armedFor = Long.MAX_VALUE;
+      recovery.tick(clock.now());
+      arm();
+    });
+  }
+
+  private void keep() {
+    long now = clock.now();
+    if (access.snapshot() == null || keeping || !view.known() || recovery.phase() != Recovery.Phase.CURRENT
+        || now - keptAt < access.snapshotEvery()) {
+      return;
+    }
+    keeping = true;
+    keptAt = now;
+    Snapshot snapshot = new Snapshot(access.prefix(), view.cluster(), view.applied(), view.provenAt(),
+        List.copyOf(view.held()));
+    vertx.executeBlocking(() -> {
+      SnapshotFile.write(access.snapshot(), snapshot);
+      return null;
+    }).onComplete(done -> {
+      keeping = false;
+      if (done.failed()) {
+        note("the snapshot can't be written: " + done.cause());
+      }
+    });
+  }
+
+  // ---- Orders.
+
+  /** One answer, told to the recovery with what it was for. */
+  private abstract class Told implements Wires.Answer {
+    final long call;
+
+    Told(long call) {
+      this.call = call;
+    }
+
+    abstract void read(int status, MultiMap headers, byte[] body);
+
+    @Override public void whole(int status, MultiMap headers, byte[] body) {
+      calls.remove(call);
+      taken(() -> {
+        if (form.isCompacted(status, body)) {
+          recovery.compacted(clock.now(), call);
+        } else {
+          read(status, headers, body);
+        }
+      });
+    }
+
+    /** What can't be read ends this call alone. */
+    void taken(Runnable reading) {
+      try {
+        reading.run();
+      } catch (Fields.Malformed e) {
+        note(e.getMessage());
+        drop(call);
+        recovery.ended(clock.now(), call, Failure.UNREADABLE, 0);
+      }
+      arm();
+    }
+
+    @Override public void failed(Failure why, long retryAfter) {
+      calls.remove(call);
+      recovery.ended(clock.now(), call, why, retryAfter);
+      arm();
+    }
+  }
+
+  private void send(int endpoint, Form.Ask ask, boolean lines, Told answer) {
+    calls.put(answer.call, wires.send(endpoint, ask, lines, answer));
+  }
+
+  @Override public void list(long call, int endpoint, long revision, String after, long since, int limit) {
+    send(endpoint, form.list(revision, after, since, limit), false, new Told(call) {
+      @Override void read(int status, MultiMap headers, byte[] body) {
+        Form.Page page = form.page(status, headers, body);
+        recovery.page(clock.now(), call, page.header(), page.items(), page.more(), page.count());
+      }
+    });
+  }
+
+  @Override public void watch(long call, int endpoint, long from) {
+    boolean lines = access.form() == RegistryAccess.Form.ETCD;
+    send(endpoint, form.watch(from), lines, new Told(call) {
+      @Override void read(int status, MultiMap headers, byte[] body) {
+        Form.Page page = form.page(status, headers, body);
+        recovery.page(clock.now(), call, page.header(), page.items(), page.more(), page.count());
+      }
+
+      @Override public void line(byte[] line) {
+        taken(() -> frame(call, form.frame(line)));
+      }
+    });
+  }
+
+  private void frame(long call, Form.Frame frame) {
+    long now = clock.now();
+    if (frame instanceof Form.Frame.Opened opened) {
+      recovery.opened(now, call, opened.header());
+    } else if (frame instanceof Form.Frame.Told told) {
+      recovery.told(now, call, told.header(), told.changes(), told.partial());
+    } else {
+      drop(call);
+      if (frame instanceof Form.Frame.Compacted) {
+        recovery.compacted(now, call);
+      } else if (frame instanceof Form.Frame.Ended ended) {
+        recovery.ended(now, call, ended.why(), 0);
+      }
+    }
+  }
+
+  @Override public void pulse(long call, int endpoint) {
+    send(endpoint, form.pulse(), false, new Told(call) {
+      @Override void read(int status, MultiMap headers, byte[] body) {
+        Form.Tip tip = form.tip(status, headers, body);
+        recovery.pulsed(clock.now(), call, tip.header(), tip.tip());
+      }
+    });
+  }
+
+  @Override public void drop(long call) {
+    Wires.Sent sent = calls.remove(call);
+    if (sent != null) {
+      sent.drop();
+    }
+  }
+}
--- /dev/null
+++ b/registry/src/main/java/amberpath/registry/live/SnapshotFile.java
@@ -0,0 +1,123 @@
+package amberpath.registry.live;
+
+import amberpath.json.Fields;
+import amberpath.registry.Content;
+import amberpath.registry.Held;
+import amberpath.registry.Snapshot;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.zip.CRC32C;
+
+/**
+ * * The file of a snapshot: a first line with its version and checksum, then JSON. It is written beside and moved
+ * into its place, so that a crash leaves the one before.
+ */
+final class SnapshotFile {
+  private static final String MAGIC = "amberpath-registry-snapshot";
+  private static final int VERSION = 1;
+
+  private SnapshotFile() {
+  }
+
+  static void write(Path file, Snapshot snapshot) throws IOException {
+    byte[] body = body(snapshot);
+    ByteArrayOutputStream all = new ByteArrayOutputStream();
+    all.writeBytes((MAGIC + " " + VERSION + " " + checksum(body) + "\n").getBytes(StandardCharsets.US_ASCII));
+    all.writeBytes(body);
+    Path beside = file.resolveSibling(file.getFileName() + ".new");
+    try (FileChannel out = FileChannel.open(beside, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
+        StandardOpenOption.TRUNCATE_EXISTING)) {
+      ByteBuffer bytes = ByteBuffer.wrap(all.toByteArray());
+      while (bytes.hasRemaining()) {
+        out.write(bytes);
+      }
+      out.force(true);
+    }
+    Files.move(beside, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    // Guards the move itself against a loss of power.
+    try (FileChannel folder = FileChannel.open(file.toAbsolutePath().getParent(), StandardOpenOption.READ)) {
+      folder.force(true);
+    }
+  }
+
+  private static String checksum(byte[] body) {
+    CRC32C sum = new CRC32C();
+    sum.update(body);
+    return Long.toHexString(sum.getValue());
+  }
+
+  private static byte[] body(Snapshot snapshot) {
+    return EtcdForm.json(to -> {
+      to.writeStartObject();
+      to.writeStringField("prefix", snapshot.prefix());
+      to.writeStringField("cluster", snapshot.cluster());
+      to.writeNumberField("revision", snapshot.revision());
+      to.writeNumberField("proven_at", snapshot.provenAt());
+      to.writeArrayFieldStart("keys");
+      for (Held held : snapshot.keys()) {
+        if (held.content() instanceof Content.Unreadable) {
+          continue;
+        }
+        to.writeStartObject();
+        to.writeStringField("key", held.key());
+        to.writeNumberField("created", held.created());
+        to.writeNumberField("changed", held.changed());
+        if (!(held.content() instanceof Content.Other)) {
+          to.writeStringField("value", new String(KeyForm.write(held.content()), StandardCharsets.UTF_8));
+        }
+        to.writeEndObject();
+      }
+      to.writeEndArray();
+      to.writeEndObject();
+    });
+  }
+
+  /** Reads a file; what is wrong with it is the message of an IOException. */
+  static Snapshot read(Path file, int longest) throws IOException {
+    if (Files.size(file) > longest) {
+      throw new IOException("longer than " + longest + " bytes");
+    }
+    byte[] all = Files.readAllBytes(file);
+    int line = 0;
+    while (line < all.length && all[line] != '\n') {
+      line++;
+    }
+    String[] head = new String(all, 0, line, StandardCharsets.US_ASCII).split(" ");
+    if (head.length != 3 || !head[0].equals(MAGIC)) {
+      throw new IOException("no snapshot");
+    }
+    if (!head[1].equals(Integer.toString(VERSION))) {
+      throw new IOException("of version " + head[1]);
+    }
+    byte[] body = Arrays.copyOfRange(all, Math.min(all.length, line + 1), all.length);
+    if (!head[2].equals(checksum(body))) {
+      throw new IOException("torn: its checksum is another one");
+    }
+    try (JsonParser parser = new JsonFactory().createParser(body)) {
+      Fields fields = Fields.read("snapshot", parser);
+      String prefix = fields.text("prefix");
+      List<Held> keys = new ArrayList<>();
+      for (Fields one : fields.each("keys")) {
+        String key = one.text("key");
+        Content content = !one.has("value") || !key.startsWith(prefix) ? new Content.Other()
+            : KeyForm.read(key.substring(prefix.length()), one.text("value").getBytes(StandardCharsets.UTF_8));
+        keys.add(new Held(key, content, one.whole("created"), one.whole("changed")));
+      }
+      return new Snapshot(prefix, fields.text("cluster"), fields.whole("revision"), fields.whole("proven_at"), keys);
+    } catch (Fields.Malformed e) {
+      throw new IOException(e.getMessage(), e);
+    }
+  }
+}
