--- /dev/null
+++ b/app/src/test/java/amberpath/cli/CommandTest.java
@@ -0,0 +1,84 @@
+package amberpath.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import amberpath.registry.live.RegistryAccess;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import picocli.CommandLine;
+
+/** Settings and the command line: what is wrong is one message that names file, section and key. */
+class CommandTest {
+  private static final String GOOD = "[registry]\nform = etcd\nendpoints = 127.0.0.1:2379, 127.0.0.1:2380\n";
+  @TempDir
+  private Path folder;
+
+  private Path file(String text) throws Exception {
+    return Files.writeString(folder.resolve("a.ini"), text);
+  }
+
+  @Test
+  void aFileThatIsGoodHasItsDefaults() throws Exception {
+    DeploymentFile read = DeploymentFile.read(file(GOOD));
+    assertEquals(RegistryAccess.Form.ETCD, read.registry().form());
+    assertEquals(2, read.registry().endpoints().size());
+    assertEquals("amberpath/", read.registry().prefix());
+    assertEquals(600_000_000_000L, read.registry().retention());
+    assertEquals(false, read.journalBeside());
+  }
+
+  @Test
+  void theDocumentedExampleIsGoodAndHasEveryKey() throws Exception {
+    String example = Files.readString(Path.of("..", "deploy", "amberpath.ini"));
+    String switchedOn = example.replaceAll("(?m)^;(\\[?[a-z-]+\\]?( = |$))", "$1")
+        .replaceAll("(?m)^(trust|certificate|key|token|user|password|snapshot) = .*$", "");
+    assertEquals(20_000, DeploymentFile.read(file(switchedOn)).registry().mostKeys());
+    assertEquals(null, DeploymentFile.read(file(example)).registry());
+  }
+
+  @ParameterizedTest
+  @CsvSource(delimiter = '|', value = {
+      "form = etcd|form = zoo|[registry] form: none of etcd, consul: zoo",
+      "form = etcd||[registry] form: missing; one of etcd, consul",
+      "endpoints = 127.0.0.1:2379, 127.0.0.1:2380|endpoints = here:1|[registry] endpoints: no numeric address:port: here:1",
+      "endpoints = 127.0.0.1:2379, 127.0.0.1:2380||[registry] endpoints: missing",
+      "form = etcd|form = etcd\\nendpoint = 1|[registry] endpoint: no such key",
+      "form = etcd|form = etcd\\nmost-keys = 1.5e3x|[registry] most-keys: no number from 10 to 1000000: 1.5e3x",
+      "form = etcd|form = etcd\\nretention-s = 5|[registry] retention-s: no number from 10 to 86400: 5",
+      "form = etcd|form = etcd\\nprefix = a b|[registry] prefix: not of letters, digits and ._-/ with a slash at its end: a b",
+      "form = etcd|form = etcd\\ntrust = /nowhere|[registry] trust: can't be read: /nowhere",
+      "form = etcd|form = etcd\\nuser = me|[registry] password: missing: both or neither",
+      "form = etcd|form = etcd\\nform = consul|[registry] form: given twice",
+      "[registry]|[registrar]|[registrar]: no such section"})
+  void whatIsWrongIsOneMessage(String from, String to, String message) throws Exception {
+    Path file = file(GOOD.replace(from, to == null ? "" : to.replace("\\n", "\n")));
+    DeploymentFile.Faulty e = assertThrows(DeploymentFile.Faulty.class, () -> DeploymentFile.read(file));
+    assertEquals(file + ": " + message, e.getMessage());
+  }
+
+  private int run(StringWriter err, String... args) {
+    CommandLine line = AmberpathCommand.line();
+    line.setErr(new PrintWriter(err, true));
+    return line.execute(args);
+  }
+
+  @Test
+  void exitCodesTellUsageAndSettingsFromTheRest() throws Exception {
+    StringWriter err = new StringWriter();
+    assertEquals(0, run(err, "check", file(GOOD).toString()));
+    assertEquals(2, run(err, "check", file("[registry]\n").toString()));
+    assertEquals(2, run(err, "nonsense"));
+    assertEquals(2, run(err));
+    assertEquals(2, run(err, "registry", "--file", file("").toString(), "list"));
+    assertTrue(err.toString().contains("[registry]: missing"), err.toString());
+    assertEquals(0, run(err, "lab", "list"));
+  }
+}
--- a/core/src/test/java/amberpath/ControlTest.java
+++ b/core/src/test/java/amberpath/ControlTest.java
@@ -289,7 +289,7 @@
   }
 
   @ParameterizedTest
-  @CsvSource({"5, 0", "0, 9"})
+  @CsvSource({"5, 0", "0, 9", "0, -1"})
   void copiesFromBeforeAPurgeAreNotAskedForUntilAllHaveDroppedThem(long object, int group) {
     assertEquals(0, hit(5, 0).age());
     host.event(to -> to.purged(object, group, 100 * MS)).pass(400);
--- /dev/null
+++ b/lab/src/test/java/amberpath/lab/registry/RegistrySourceTest.java
@@ -0,0 +1,336 @@
+package amberpath.lab.registry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import amberpath.Arrivals.State;
+import amberpath.lab.World;
+import amberpath.lab.registry.StandInRegistry.Way;
+import amberpath.registry.Content;
+import amberpath.registry.Recovery.Phase;
+import amberpath.registry.live.KeyForm;
+import amberpath.registry.live.RegistryAccess;
+import amberpath.registry.live.RegistryAccess.Form;
+import amberpath.registry.live.RegistryDesk;
+import amberpath.registry.live.RegistrySource;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.net.PemKeyCertOptions;
+import io.vertx.core.net.SocketAddress;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.Key;
+import java.security.KeyStore;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** The live half on sockets against a stand-in registry: what only sockets, files and TLS can get wrong. */
+@Timeout(60)
+class RegistrySourceTest {
+  private static final String SECRET = "s3cr3t-of-the-house", PREFIX = "amberpath/";
+  private static final long SECOND = 1_000_000_000;
+
+  private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+  private final ToldList told = new ToldList(System::nanoTime, line -> { }, line -> { }).purgedOften();
+  private final List<String> logged = new ArrayList<>();
+  private final Logger logger = Logger.getLogger("amberpath.registry");
+  private final Handler handler = new Handler() {
+    @Override public void publish(LogRecord record) {
+      synchronized (logged) {
+        logged.add(record.getMessage());
+      }
+    }
+
+    @Override public void flush() {
+    }
+
+    @Override public void close() {
+    }
+  };
+  @TempDir
+  private Path folder;
+  private StandInRegistry registry = new StandInRegistry(vertx, new HttpServerOptions());
+  private RegistrySource source;
+
+  @AfterEach
+  void end() throws Exception {
+    on(() -> {
+      if (source != null) {
+        source.close();
+      }
+      return null;
+    });
+    logger.removeHandler(handler);
+    World.await(vertx.close());
+  }
+
+  private <T> T on(Callable<T> what) throws Exception {
+    CompletableFuture<T> done = new CompletableFuture<>();
+    vertx.getOrCreateContext().runOnContext(loop -> {
+      try {
+        done.complete(what.call());
+      } catch (Exception e) {
+        done.completeExceptionally(e);
+      }
+    });
+    return done.get(20, TimeUnit.SECONDS);
+  }
+
+  private void await(Callable<Boolean> what) throws Exception {
+    for (int left = 2000; !on(what); left--) {
+      assertTrue(left > 0, () -> "not in time; " + told.states() + " " + source.status() + " " + logged);
+      Thread.sleep(5);
+    }
+  }
+
+  private void endpoints(int many) throws Exception {
+    for (int one = 0; one < many; one++) {
+      World.await(on(() -> registry.open(0)));
+    }
+  }
+
+  private RegistryAccess access(Form form, Path trust, Path token, String user, Path password, Path snapshot) {
+    List<SocketAddress> all = registry.endpoints().stream()
+        .map(one -> SocketAddress.inetSocketAddress(one.port(), "127.0.0.1")).toList();
+    return new RegistryAccess(form, all, PREFIX, trust, null, null, token, user, password, snapshot, 0,
+        3600 * SECOND, 600 * SECOND, 1000, 1 << 20);
+  }
+
+  private RegistryAccess plain(Form form) {
+    return access(form, null, null, null, null, null);
+  }
+
+  private void start(RegistryAccess access) throws Exception {
+    logger.addHandler(handler);
+    on(() -> {
+      source = new RegistrySource(vertx, access, told, 7);
+      source.start();
+      return null;
+    });
+  }
+
+  private void put(String id, State state) throws Exception {
+    Map<String, byte[]> writes = new TreeMap<>();
+    writes.put(PREFIX + KeyForm.CACHES + id, state == null ? null : KeyForm.write(
+        new Content.Cache(id, "127.0.0.1:7001", "z", "box", 0, state, 1, 0)));
+    writes.put(PREFIX + KeyForm.TIP, Long.toString(System.nanoTime()).getBytes());
+    on(() -> registry.write(writes));
+  }
+
+  private Boolean is(String id, State state) {
+    return told.states().get(id) == state;
+  }
+
+  @ParameterizedTest
+  @EnumSource(Form.class)
+  void changesComeAsTheyAreWrittenAndSurviveBreaksAndCompaction(Form form) throws Exception {
+    endpoints(2);
+    put("a", State.UP);
+    start(plain(form));
+    await(() -> is("a", State.UP));
+    put("a", State.DRAINING);
+    await(() -> is("a", State.DRAINING));
+    on(() -> {
+      registry.endpoints().forEach(StandInRegistry.Endpoint::cut);
+      return null;
+    });
+    put("b", State.UP);
+    put("a", null);
+    on(() -> {
+      registry.compact(0);
+      return null;
+    });
+    await(() -> is("b", State.UP) && is("a", null));
+    on(() -> {
+      registry.write(new TreeMap<>(Map.of(PREFIX + KeyForm.CACHES + "bad", new byte[] {1})));
+      return null;
+    });
+    put("c", State.UP);
+    await(() -> is("c", State.UP) && is("bad", null));
+  }
+
+  @ParameterizedTest
+  @EnumSource(Form.class)
+  void aDrainComesInTimeThoughBothWatchesFellSilent(Form form) throws Exception {
+    endpoints(3);
+    put("a", State.UP);
+    start(plain(form));
+    await(() -> is("a", State.UP) && source.status().watches() == 2);
+    // Warm, and steady for longer than a lone endpoint must be.
+    Thread.sleep(1500);
+    on(() -> {
+      registry.endpoints().subList(0, 2).forEach(one -> one.become(Way.SILENT));
+      return null;
+    });
+    long written = System.nanoTime();
+    put("a", State.DRAINING);
+    await(() -> is("a", State.DRAINING));
+    long took = (System.nanoTime() - written) / 1_000_000;
+    assertTrue(took < 600, took + " ms, a loaded machine's time included");
+  }
+
+  @Test
+  void aTokenThatRanOutIsRenewedAndNoSecretIsLogged() throws Exception {
+    endpoints(1);
+    Path token = folder.resolve("token");
+    Files.writeString(token, SECRET + "-1\n");
+    on(() -> {
+      registry.askFor(SECRET + "-1");
+      return null;
+    });
+    put("a", State.UP);
+    start(access(Form.ETCD, null, token, null, null, null));
+    await(() -> is("a", State.UP));
+    Files.writeString(token, SECRET + "-2\n");
+    on(() -> {
+      registry.askFor(SECRET + "-2");
+      registry.endpoints().get(0).cut();
+      return null;
+    });
+    put("a", State.DRAINING);
+    await(() -> is("a", State.DRAINING));
+    on(() -> {
+      registry.askFor(SECRET + "-3");
+      registry.endpoints().get(0).cut();
+      return null;
+    });
+    await(() -> logged.stream().anyMatch(line -> line.contains("UNAUTHORISED")));
+    assertFalse(logged.toString().contains(SECRET), logged.toString());
+  }
+
+  @Test
+  void aPasswordIsShownForATokenAndNothingElse() throws Exception {
+    endpoints(1);
+    Path password = folder.resolve("password");
+    Files.writeString(password, SECRET);
+    on(() -> {
+      registry.askFor("given");
+      return null;
+    });
+    put("a", State.UP);
+    start(access(Form.ETCD, null, null, "reader", password, null));
+    await(() -> is("a", State.UP));
+    assertFalse(logged.toString().contains(SECRET));
+  }
+
+  /** Makes a key and a certificate for 127.0.0.1 with the JDK's own tool, as PEM files. */
+  private PemKeyCertOptions certificate(String name) throws Exception {
+    Path store = folder.resolve(name + ".p12");
+    Process made = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "keytool").toString(),
+        "-genkeypair", "-alias", "a", "-keyalg", "EC", "-storetype", "PKCS12", "-keystore", store.toString(),
+        "-storepass", "password", "-dname", "CN=stand-in", "-ext", "SAN=IP:127.0.0.1").inheritIO().start();
+    assertEquals(0, made.waitFor());
+    KeyStore keys = KeyStore.getInstance(store.toFile(), "password".toCharArray());
+    Key key = keys.getKey("a", "password".toCharArray());
+    Path certificate = pem(name + ".crt", "CERTIFICATE", keys.getCertificate("a").getEncoded());
+    Path secret = pem(name + ".key", "PRIVATE KEY", key.getEncoded());
+    return new PemKeyCertOptions().setCertPath(certificate.toString()).setKeyPath(secret.toString());
+  }
+
+  private Path pem(String name, String what, byte[] bytes) throws IOException {
+    return Files.writeString(folder.resolve(name), "-----BEGIN " + what + "-----\n"
+        + Base64.getMimeEncoder(64, new byte[] {'\n'}).encodeToString(bytes) + "\n-----END " + what + "-----\n");
+  }
+
+  @Test
+  void aServerThatIsNotTheOneMeantIsToldApartAndTakenOnceItsAuthorityIsInTheFile() throws Exception {
+    registry = new StandInRegistry(vertx, new HttpServerOptions().setSsl(true).setKeyCertOptions(certificate("one")));
+    endpoints(1);
+    certificate("other");
+    Path trust = Files.copy(folder.resolve("other.crt"), folder.resolve("trust.pem"));
+    put("a", State.UP);
+    start(access(Form.ETCD, trust, null, null, null, null));
+    await(() -> logged.stream().anyMatch(line -> line.contains("UNTRUSTED")));
+    assertEquals(Map.of(), told.states());
+    Files.writeString(trust, Files.readString(folder.resolve("one.crt")));
+    on(() -> {
+      source.renewed();
+      return null;
+    });
+    await(() -> is("a", State.UP));
+    // Read again, files leave an open watch alone.
+    on(() -> {
+      source.renewed();
+      return null;
+    });
+    put("a", State.DRAINING);
+    await(() -> is("a", State.DRAINING));
+  }
+
+  @Test
+  void aStartWithNoRegistryServesFromTheSnapshotWithItsTrueAge() throws Exception {
+    endpoints(1);
+    put("a", State.UP);
+    Path file = folder.resolve("view");
+    start(access(Form.ETCD, null, null, null, null, file));
+    await(() -> Files.exists(file));
+    on(() -> {
+      source.close();
+      registry.endpoints().get(0).become(Way.REFUSES);
+      return null;
+    });
+    told.listing(true);
+    told.listed();
+    start(access(Form.ETCD, null, null, null, null, file));
+    await(() -> is("a", State.UP));
+    assertTrue(on(() -> source.status().age() > 0 && source.status().phase() != Phase.CURRENT));
+    put("a", State.DRAINING);
+    on(() -> {
+      registry.endpoints().get(0).become(Way.ANSWERS);
+      return null;
+    });
+    await(() -> is("a", State.DRAINING));
+  }
+
+  @ParameterizedTest
+  @EnumSource(Form.class)
+  void aWriteFailsIfItsKeyMovedMeanwhile(Form form) throws Exception {
+    endpoints(1);
+    put("a", State.UP);
+    try (RegistryDesk desk = new RegistryDesk(vertx, plain(form))) {
+      long seen = World.await(desk.list()).stream().filter(one -> one.key().endsWith("/a")).findFirst().orElseThrow()
+          .changed();
+      put("a", State.DRAINING);
+      Content.Cache other = new Content.Cache("a", "127.0.0.1:1", "z", "box", 0, State.UP, 1, 0);
+      assertFalse(World.await(desk.write(PREFIX + KeyForm.CACHES + "a", other, seen)));
+      long tip = on(() -> registry.revision());
+      assertTrue(World.await(desk.write(PREFIX + KeyForm.CACHES + "b", other, 0)));
+      assertTrue(World.await(desk.purge("x", new Content.Purge(5, 0, System.currentTimeMillis()))));
+      assertTrue(on(() -> registry.revision()) > tip);
+      assertEquals(4, World.await(desk.list()).size());
+    }
+  }
+
+  @Test
+  void staffAreToldWhatTheyCanActOn() throws Exception {
+    endpoints(1);
+    on(() -> {
+      registry.endpoints().get(0).become(Way.REFUSES);
+      return null;
+    });
+    try (RegistryDesk desk = new RegistryDesk(vertx, plain(Form.ETCD))) {
+      ExecutionException e = assertThrows(ExecutionException.class, () -> World.await(desk.list()));
+      assertTrue(e.getCause().getMessage().endsWith("nothing listens there"), e.getCause().getMessage());
+    }
+  }
+}
--- /dev/null
+++ b/registry/src/test/java/amberpath/registry/RegistryViewTest.java
@@ -0,0 +1,197 @@
+package amberpath.registry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import amberpath.Arrivals.State;
+import amberpath.Membership;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What a view tells of what a registry holds, one story for each way to get it wrong. */
+class RegistryViewTest {
+  private static final long MS = 1_000_000, NOW = 1_000_000_000_000L * MS, RETENTION = 60_000 * MS;
+
+  private final List<String> told = new ArrayList<>();
+  private final List<String> complaints = new ArrayList<>();
+  private final RegistryView view = new RegistryView(new Written(told), "p/tip", 6, RETENTION, complaints::add);
+
+  /** Writes down what is told: a list in brackets, of all where it begins with an equals sign. */
+  static final class Written implements Membership {
+    private final List<String> to;
+    private StringBuilder list;
+
+    Written(List<String> to) {
+      this.to = to;
+    }
+
+    @Override public void listing(boolean whole) {
+      list = new StringBuilder(whole ? "=[" : "[");
+    }
+
+    @Override public void member(String id, String address, String zone, String kind, int cell, State state,
+        double weight, long startedAtMs) {
+      list.append(id).append(state == State.UP ? '+' : state == State.DRAINING ? '~' : '-');
+    }
+
+    @Override public void listed() {
+      to.add(list + "]");
+    }
+
+    @Override public void purged(long object, int group, long atMs) {
+      to.add("purged " + object + "/" + group + " " + (atMs - NOW / MS));
+    }
+  }
+
+  static Held cache(String id, State state, long created, long changed) {
+    return new Held("p/" + id, new Content.Cache(id, "127.0.0.1:1", "z", "k", 0, state, 1, 0), created, changed);
+  }
+
+  private static Held purge(long object, long agoMs, long changed) {
+    return new Held("p/purge" + object, new Content.Purge(object, 0, NOW / MS - agoMs), changed, changed);
+  }
+
+  private static Change put(Held held) {
+    return new Change(held.changed(), held.key(), held);
+  }
+
+  private List<String> told() {
+    List<String> all = List.copyOf(told);
+    told.clear();
+    return all;
+  }
+
+  private void starts(Held... all) {
+    view.whole(NOW, Arrays.asList(all), "c", 10, NOW, false);
+    told();
+  }
+
+  @Test
+  void theFirstListIsToldWhole() {
+    view.whole(NOW, List.of(cache("a", State.UP, 1, 1), cache("b", State.DRAINING, 2, 3)), "c", 10, NOW, false);
+    assertEquals(List.of("=[a+b~]"), told());
+    assertEquals(10, view.applied());
+  }
+
+  @Test
+  void allKeysOfARevisionAreOneListingAndRevisionsAreToldApart() {
+    starts(cache("a", State.UP, 1, 1));
+    view.changes(NOW, List.of(put(cache("b", State.UP, 11, 11)), put(cache("a", State.DRAINING, 1, 11)),
+        put(cache("a", State.UP, 1, 12))));
+    assertEquals(List.of("[a~b+]", "[a+]"), told());
+  }
+
+  @Test
+  void whatASecondWatchTellsAgainIsPassedOver() {
+    starts(cache("a", State.UP, 1, 1));
+    view.changes(NOW, List.of(put(cache("a", State.DRAINING, 1, 11))));
+    view.changes(NOW, List.of(put(cache("a", State.DRAINING, 1, 11)), put(cache("a", State.UP, 1, 12))));
+    assertEquals(List.of("[a~]", "[a+]"), told());
+  }
+
+  @Test
+  void aCacheThatIsCreatedAnewUnderItsIdIsGoneFirst() {
+    starts(cache("a", State.UP, 1, 1));
+    assertTrue(view.written(NOW, List.of(cache("a", State.UP, 14, 14)), 1, 14, NOW));
+    assertEquals(List.of("[a-]", "[a+]"), told());
+  }
+
+  @Test
+  void aDeletionThatNobodyToldOfNeedsAWholeList() {
+    starts(cache("a", State.UP, 1, 1), cache("b", State.UP, 2, 2));
+    assertFalse(view.written(NOW, List.of(cache("a", State.DRAINING, 1, 12)), 1, 13, NOW));
+    assertEquals(List.of(), told());
+    view.whole(NOW, List.of(cache("a", State.DRAINING, 1, 12)), "c", 13, NOW, false);
+    assertEquals(List.of("[b-a~]"), told());
+  }
+
+  @Test
+  void aDeletionThatANewKeyHidesInTheCountIsFoundToo() {
+    starts(cache("a", State.UP, 1, 1), cache("b", State.UP, 2, 2));
+    assertFalse(view.written(NOW, List.of(cache("d", State.UP, 12, 12)), 2, 13, NOW));
+  }
+
+  @Test
+  void aValueThatCantBeReadSpoilsItsOwnKeyAloneAndTheLastGoodOneStays() {
+    starts(cache("a", State.UP, 1, 1));
+    Held spoilt = new Held("p/a", new Content.Unreadable("not JSON"), 1, 11);
+    view.changes(NOW, List.of(put(spoilt), new Change(11, "p/b", cache("b", State.UP, 11, 11))));
+    assertEquals(List.of("[b+]"), told());
+    assertEquals(List.of("p/a: not JSON"), complaints);
+    view.whole(NOW, List.of(spoilt, cache("b", State.UP, 11, 11)), "c", 12, NOW, false);
+    assertEquals(List.of(), told());
+    assertEquals(1, complaints.size());
+  }
+
+  @Test
+  void aPurgeIsToldOnceAndCountsFromNow() {
+    starts();
+    view.changes(NOW, List.of(put(purge(7, 900, 11))));
+    view.whole(NOW, List.of(purge(7, 900, 11)), "c", 12, NOW, false);
+    assertEquals(List.of("purged 7/0 0"), told());
+  }
+
+  @Test
+  void aPurgeFromBeforeTheStartIsTakenForUpToAClocksErrorLater() {
+    view.whole(NOW, List.of(purge(7, 5000, 3), purge(8, 500, 4)), "c", 10, NOW, false);
+    assertEquals(List.of("=[]", "purged 7/0 -3000", "purged 8/0 0"), told());
+  }
+
+  @Test
+  void afterAGapLongerThanPurgesAreKeptEverythingCountsAsPurged() {
+    starts(cache("a", State.UP, 1, 1));
+    view.whole(NOW, List.of(cache("a", State.UP, 1, 1)), "c", 20, NOW + RETENTION, false);
+    assertEquals(List.of(), told());
+    view.whole(NOW, List.of(cache("a", State.UP, 1, 1)), "c", 21, NOW + 2 * RETENTION + 1, false);
+    assertEquals(List.of("purged 0/-1 0"), told());
+  }
+
+  @Test
+  void aRestoredRegistryIsAFullNewListAndEverythingCountsAsPurged() {
+    starts(cache("a", State.UP, 1, 1), cache("b", State.UP, 2, 9));
+    view.whole(NOW, List.of(cache("b", State.UP, 2, 5)), "c", 6, NOW, true);
+    assertEquals(List.of("=[b+]", "purged 0/-1 0"), told());
+    assertEquals(6, view.applied());
+  }
+
+  @Test
+  void anOlderWriteOfAKnownKeyShowsThatRevisionsWereGivenAnew() {
+    starts(cache("b", State.UP, 2, 9));
+    view.whole(NOW, List.of(cache("b", State.UP, 2, 5), cache("d", State.UP, 11, 11)), "c", 12, NOW, false);
+    assertEquals(List.of("=[b+d+]", "purged 0/-1 0"), told());
+  }
+
+  @Test
+  void keysPastTheBoundArePassedOverWhileThoseHeldAreFollowed() {
+    starts(cache("a", State.UP, 1, 1));
+    for (int more = 0; more < 8; more++) {
+      view.changes(NOW, List.of(put(cache("x" + more, State.UP, 11 + more, 11 + more))));
+    }
+    assertEquals(5, told().size());
+    assertEquals(1, complaints.size());
+    view.changes(NOW, List.of(put(cache("a", State.DRAINING, 1, 30))));
+    assertEquals(List.of("[a~]"), told());
+    assertEquals(6, view.size());
+  }
+
+  @Test
+  void aSnapshotIsToldWithItsTrueAgeAndTheRegistryOnlyWhatDiffers() {
+    view.remember(NOW, List.of(cache("a", State.UP, 1, 1), cache("b", State.UP, 2, 2)), "c", 10, NOW - 50 * MS);
+    assertEquals(List.of("=[a+b+]"), told());
+    assertEquals(NOW - 50 * MS, view.provenAt());
+    view.whole(NOW, List.of(cache("a", State.DRAINING, 1, 12), cache("b", State.UP, 2, 2)), "c", 12, NOW, false);
+    assertEquals(List.of("[a~]"), told());
+  }
+
+  @Test
+  void aSnapshotSaysWhyItIsNotToBeServedFrom() {
+    Snapshot snapshot = new Snapshot("p/", "c", 10, NOW - 100 * MS, List.of());
+    assertEquals(null, snapshot.refusal(NOW, "p/", 200 * MS));
+    assertEquals("it is of the prefix p/", snapshot.refusal(NOW, "q/", 200 * MS));
+    assertEquals("it is 0 s old", snapshot.refusal(NOW, "p/", 50 * MS));
+    assertEquals("it is from the future", snapshot.refusal(NOW - 5000 * MS, "p/", 200 * MS));
+  }
+}
--- /dev/null
+++ b/registry/src/test/java/amberpath/registry/live/FormsTest.java
@@ -0,0 +1,175 @@
+package amberpath.registry.live;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import amberpath.Arrivals.State;
+import amberpath.json.Fields.Malformed;
+import amberpath.registry.Content;
+import amberpath.registry.Failure;
+import amberpath.registry.Held;
+import amberpath.registry.Snapshot;
+import io.vertx.core.MultiMap;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Base64;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The codecs and the snapshot's file: what they take, and what they refuse without harm. */
+class FormsTest {
+  private static final MultiMap NONE = MultiMap.caseInsensitiveMultiMap();
+  private static final Content.Cache CACHE = new Content.Cache("c1", "127.0.0.1:7001", "z", "box", 3,
+      State.DRAINING, 4, 1_700_000_000_000L);
+
+  private final EtcdForm etcd = new EtcdForm("p/");
+  private final ConsulForm consul = new ConsulForm("p/", 1000);
+
+  private static String base64(String text) {
+    return Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static byte[] bytes(String text) {
+    return text.replace('\'', '"').getBytes(StandardCharsets.UTF_8);
+  }
+
+  private static String text(byte[] body) {
+    return new String(body, StandardCharsets.UTF_8);
+  }
+
+  @Test
+  void aCacheReadsAsItWasWritten() {
+    assertEquals(CACHE, KeyForm.read("caches/c1", KeyForm.write(CACHE)));
+    Content.Purge purge = new Content.Purge(0x7f3a9c21e0b4d655L, 0, 1_700_000_000_000L);
+    assertEquals(purge, KeyForm.read("purges/1", KeyForm.write(purge)));
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"", "[]", "{'v':2}", "{'v':1,'address':'host:1','zone':'z','kind':'k','state':'ready'}",
+      "{'v':1,'address':'127.0.0.1:1','zone':'z','kind':'k','state':'gone'}",
+      "{'v':1,'address':'127.0.0.1:1','zone':'z','kind':'k','state':'ready','weight':0}",
+      "{'v':1,'address':'127.0.0.1:1','zone':'','kind':'k','state':'ready'}",
+      "{'v':1,'address':'127.0.0.1:1','zone':'z','kind':'k','state':'ready','cell':99999999999}"})
+  void aValueThatIsNotAsThePageHasItIsUnreadableAndNoMore(String value) {
+    assertInstanceOf(Content.Unreadable.class, KeyForm.read("caches/c1", bytes(value)));
+  }
+
+  @Property(tries = 500)
+  void noValueIsThrownOver(@ForAll byte[] value) {
+    KeyForm.read("caches/c1", value);
+    KeyForm.read("purges/1", value);
+  }
+
+  @Property(tries = 500)
+  void noLineIsThrownOverButAsMalformed(@ForAll byte[] line) {
+    try {
+      new EtcdForm("p/").frame(line);
+    } catch (Malformed e) {
+      assertTrue(e.getMessage().length() < 200);
+    }
+  }
+
+  @Test
+  void aRangeIsAskedAndReadByThePublishedForm() {
+    Form.Ask ask = etcd.list(7, "p/caches/a", 5, 100);
+    assertEquals("/v3/kv/range", ask.uri());
+    assertEquals("{'key':'" + base64("p/caches/a\0") + "','range_end':'" + base64("p0") + "','limit':'100',"
+        + "'revision':'7','min_mod_revision':'5'}", text(ask.body()).replace('"', '\''));
+    Form.Page page = etcd.page(200, NONE, bytes("{'header':{'cluster_id':'12','revision':'40'},'kvs':[{'key':'"
+        + base64("p/caches/c1") + "','create_revision':'3','mod_revision':'9','value':'"
+        + Base64.getEncoder().encodeToString(KeyForm.write(CACHE)) + "'}],'more':true,'count':'2'}"));
+    assertEquals(List.of(new Held("p/caches/c1", CACHE, 3, 9)), page.items());
+    assertEquals(40, page.header().revision());
+    assertTrue(page.more());
+    assertEquals(2, page.count());
+  }
+
+  @Test
+  void aWatchsLinesSayWhatThePublishedFormHas() {
+    String header = "'header':{'cluster_id':'12','revision':'40'}";
+    assertInstanceOf(Form.Frame.Opened.class, etcd.frame(bytes("{'result':{" + header + ",'created':true}}")));
+    assertInstanceOf(Form.Frame.Compacted.class,
+        etcd.frame(bytes("{'result':{" + header + ",'canceled':true,'compact_revision':'33'}}")));
+    assertEquals(new Form.Frame.Ended(Failure.UNAUTHORISED),
+        etcd.frame(bytes("{'error':{'grpc_code':16,'message':'x'}}")));
+    Form.Frame.Told told = (Form.Frame.Told) etcd.frame(bytes("{'result':{" + header + ",'fragment':true,'events':["
+        + "{'type':'DELETE','kv':{'key':'" + base64("p/caches/c1") + "','mod_revision':'40'}}]}}"));
+    assertTrue(told.partial());
+    assertNull(told.changes().get(0).held());
+    assertEquals(40, told.changes().get(0).revision());
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"{'header':{'revision':'-4'}}", "{'header':{'revision':'4x'}}", "{'kvs':[]}",
+      "{'header':{'revision':'4'},'kvs':[{'key':'!!'}]}", "{'header':{'revision':'4'},'kvs':[{'key':'cQ=='}]}"})
+  void aPageThatIsNotAsPublishedIsMalformed(String body) {
+    assertThrows(Malformed.class, () -> etcd.page(200, NONE, bytes(body)));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"401,0,UNAUTHORISED", "403,7,UNAUTHORISED", "429,8,THROTTLED", "503,14,UNAVAILABLE",
+      "400,16,UNAUTHORISED", "404,5,UNREADABLE"})
+  void aStatusSaysWhyItIsNoAnswer(int status, int code, Failure why) {
+    assertEquals(why, etcd.failure(status, bytes("{'code':" + code + "}")));
+    assertTrue(etcd.isCompacted(400, bytes("{'code':11,'message':'compacted'}")));
+  }
+
+  @Test
+  void aBlockingReadIsAskedAndReadByThePublishedForm() {
+    assertEquals("/v1/kv/p/?recurse=true&consistent=true&index=40&wait=1000ms", consul.watch(41).uri());
+    MultiMap headers = MultiMap.caseInsensitiveMultiMap().add("X-Consul-Index", "41");
+    Form.Page page = consul.page(200, headers, bytes("[{'Key':'p/caches/c1','Value':'"
+        + Base64.getEncoder().encodeToString(KeyForm.write(CACHE)) + "','CreateIndex':3,'ModifyIndex':9}]"));
+    assertEquals(List.of(new Held("p/caches/c1", CACHE, 3, 9)), page.items());
+    assertTrue(page.count() < 0);
+    assertEquals(List.of(), consul.page(404, headers, new byte[0]).items());
+    assertThrows(Malformed.class, () -> consul.page(404, NONE, new byte[0]));
+  }
+
+  // ---- The snapshot's file.
+
+  private static Snapshot snapshot() {
+    return new Snapshot("p/", "12", 40, 5, List.of(new Held("p/caches/c1", CACHE, 3, 9),
+        new Held("p/tip", new Content.Other(), 1, 40)));
+  }
+
+  @Test
+  void aSnapshotReadsAsItWasWritten(@TempDir Path folder) throws IOException {
+    Path file = folder.resolve("view");
+    SnapshotFile.write(file, snapshot());
+    SnapshotFile.write(file, snapshot());
+    assertEquals(snapshot(), SnapshotFile.read(file, 10_000));
+    assertEquals(1, folder.toFile().list().length);
+  }
+
+  @Test
+  void aTornSnapshotIsToldWhereverItWasTorn(@TempDir Path folder) throws IOException {
+    Path file = folder.resolve("view");
+    SnapshotFile.write(file, snapshot());
+    byte[] whole = Files.readAllBytes(file);
+    for (int length = 0; length < whole.length; length++) {
+      Files.write(file, java.util.Arrays.copyOf(whole, length));
+      assertThrows(IOException.class, () -> SnapshotFile.read(file, 10_000));
+    }
+  }
+
+  @Test
+  void aSnapshotOfALaterVersionOrPastTheBoundIsPassedOver(@TempDir Path folder) throws IOException {
+    Path file = folder.resolve("view");
+    SnapshotFile.write(file, snapshot());
+    assertThrows(IOException.class, () -> SnapshotFile.read(file, 20));
+    Files.writeString(file, Files.readString(file).replaceFirst("snapshot 1 ", "snapshot 2 "));
+    assertEquals("of version 2", assertThrows(IOException.class, () -> SnapshotFile.read(file, 10_000)).getMessage());
+  }
+}
