--- a/registry/src/main/java/amberpath/registry/Recovery.java
+++ b/registry/src/main/java/amberpath/registry/Recovery.java
@@ -110,7 +110,7 @@
   private long tipSeen, tipSeenAt, backwardsAt;
   private long listTime = FIRST_LIST_TIME;
   private int pulses, refusals, asked, page = FIRST_PAGE;
-  private boolean started, wholeNeeded = true, listNeeded = true, restored, backwards;
+  private boolean started, wholeNeeded = true, listNeeded = true, restored, backwards, compacted;
 
   /**
    * Makes a recovery that has asked for nothing yet.
@@ -290,8 +290,8 @@
   }
 
   private void watch(long now) {
-    // Guards against a watch that takes up where another history of revisions left off.
-    if (!view.known() || wholeNeeded) {
+    // Guards against a watch that takes up where another history of revisions left off, or where none is kept any more.
+    if (!view.known() || wholeNeeded || compacted) {
       return;
     }
     long there = endpoints.stream().filter(one -> one.watch != null).count();
@@ -544,7 +544,7 @@
     } else if (restored || !view.known() || call.revision >= view.applied()) {
       view.whole(now, call.items, call.cluster, call.revision, call.sentAt, restored);
     }
-    wholeNeeded = listNeeded = restored = false;
+    wholeNeeded = listNeeded = restored = compacted = false;
     listNeeded = tipSeen > view.applied();
     if (!listNeeded) {
       enter(Phase.CURRENT);
@@ -625,7 +625,7 @@
     Call call = take(now, id, Kind.LIST, Kind.WATCH);
     if (call != null) {
       end(call);
-      listNeeded = true;
+      listNeeded = compacted = true;
       heard(now, call.at);
       if (call.kind == Kind.LIST) {
         // Guards against a list that is never read to its end while the registry compacts: larger parts.
--- a/registry/src/main/java/amberpath/registry/live/ConsulForm.java
+++ b/registry/src/main/java/amberpath/registry/live/ConsulForm.java
@@ -22,6 +22,7 @@
  */
 final class ConsulForm implements Form {
   private static final JsonFactory JSON = new JsonFactory();
+  private static final int CONFLICT = 409;
   private static final String INDEX = "X-Consul-Index", WHOLE_PREFIX = "?recurse=true&consistent=true";
 
   private final String prefix;
@@ -100,8 +101,8 @@
 
   @Override public Failure failure(int status, byte[] body) {
     return switch (status) {
-      // Nothing stands under the prefix, or there is no tip yet.
-      case 200, 404 -> null;
+      // Nothing stands under the prefix or there is no tip yet; a key moved before a transaction.
+      case 200, 404, CONFLICT -> null;
       case 401, 403 -> Failure.UNAUTHORISED;
       case 429 -> Failure.THROTTLED;
       default -> status >= 500 ? Failure.UNAVAILABLE : Failure.UNREADABLE;
--- a/registry/src/main/java/amberpath/registry/live/Wires.java
+++ b/registry/src/main/java/amberpath/registry/live/Wires.java
@@ -13,7 +13,6 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
-import io.vertx.core.net.ClientSSLOptions;
 import io.vertx.core.net.PemKeyCertOptions;
 import io.vertx.core.net.PemTrustOptions;
 import io.vertx.core.net.SocketAddress;
@@ -167,13 +166,19 @@
   private final Vertx vertx;
   private final RegistryAccess access;
   private final Form form;
-  private final HttpClientAgent client;
+  private HttpClientAgent client;
+  /** The client before the files were read anew: its connections stay until they end. */
+  private HttpClientAgent retired;
   private String token = "";
 
   Wires(Vertx vertx, RegistryAccess access, Form form) {
     this.vertx = vertx;
     this.access = access;
     this.form = form;
+    client = client();
+  }
+
+  private HttpClientAgent client() {
     HttpClientOptions options = new HttpClientOptions().setConnectTimeout(CONNECT_MS).setKeepAliveTimeout(IDLE_S);
     if (access.trust() != null) {
       options.setSsl(true).setTrustOptions(trust());
@@ -181,7 +186,7 @@
         options.setKeyCertOptions(certificate());
       }
     }
-    client = vertx.createHttpClient(options,
+    return vertx.createHttpClient(options,
         new PoolOptions().setHttp1MaxSize(CONNECTIONS).setMaxWaitQueueSize(WAITING));
   }
 
@@ -263,18 +268,23 @@
     });
   }
 
-  /** Takes files anew: for connections to come; those that are open stay. */
-  Future<Boolean> renewed() {
+  /** Takes files anew: for connections to come; those that are open stay. What can't be read changes nothing. */
+  Future<Void> renewed() {
     token = "";
     if (access.trust() == null) {
-      return Future.succeededFuture(true);
+      return Future.succeededFuture();
     }
-    ClientSSLOptions options = new ClientSSLOptions().setTrustOptions(trust());
-    options.setHostnameVerificationAlgorithm("HTTPS");
-    if (access.certificate() != null) {
-      options.setKeyCertOptions(certificate());
-    }
-    return client.updateSSLOptions(options, true);
+    return vertx.executeBlocking(() -> {
+      trust().getTrustManagerFactory(vertx);
+      return access.certificate() == null ? null : certificate().getKeyManagerFactory(vertx);
+    }).map(good -> {
+      if (retired != null) {
+        retired.close();
+      }
+      retired = client;
+      client = client();
+      return null;
+    });
   }
 
   private static long retryAfter(String header) {
@@ -286,6 +296,9 @@
   }
 
   void close() {
+    if (retired != null) {
+      retired.close();
+    }
     client.close();
   }
 }
--- a/registry/src/test/java/amberpath/registry/RecoveryTest.java
+++ b/registry/src/test/java/amberpath/registry/RecoveryTest.java
@@ -60,6 +60,12 @@
     return found;
   }
 
+  /** The last of these orders that was not dropped. */
+  private Order last(String what) {
+    List<Order> all = take(what);
+    return all.get(all.size() - 1);
+  }
+
   /** Lets time pass; pulses are answered as the registry would, where it may. */
   private void pass(long ms, Predicate<Order> answers, long revision, long tip) {
     long end = now + ms * MS;
@@ -208,7 +214,7 @@
     watching();
     pass(500, ALL, 10, 9);
     pass(300, ALL, 4, 4);
-    Order whole = take("list").get(0);
+    Order whole = last("list");
     assertEquals(0, whole.from);
     list(whole, 4, RegistryViewTest.cache("b", State.UP, 3, 4));
     assertEquals("=[b+]", told.get(0));
@@ -235,7 +241,7 @@
       recovery.pulsed(now, one.call, new Header("other", 5), 5);
       return false;
     }, 0, 0);
-    Order whole = take("list").get(0);
+    Order whole = last("list");
     recovery.page(now, whole.call, new Header("other", 5), List.of(), false, 0);
     assertEquals(List.of("=[]", "purged 0/-1 " + (now - START) / MS), told);
   }
