--- a/app/src/test/java/amberpath/cli/CommandTest.java
+++ b/app/src/test/java/amberpath/cli/CommandTest.java
@@ -48,12 +48,14 @@
   @CsvSource(delimiter = '|', value = {
       "form = etcd|form = zoo|[registry] form: none of etcd, consul: zoo",
       "form = etcd||[registry] form: missing; one of etcd, consul",
-      "endpoints = 127.0.0.1:2379, 127.0.0.1:2380|endpoints = here:1|[registry] endpoints: no numeric address:port: here:1",
+      "endpoints = 127.0.0.1:2379, 127.0.0.1:2380|endpoints = here:1|"
+          + "[registry] endpoints: no numeric address:port: here:1",
       "endpoints = 127.0.0.1:2379, 127.0.0.1:2380||[registry] endpoints: missing",
       "form = etcd|form = etcd\\nendpoint = 1|[registry] endpoint: no such key",
       "form = etcd|form = etcd\\nmost-keys = 1.5e3x|[registry] most-keys: no number from 10 to 1000000: 1.5e3x",
       "form = etcd|form = etcd\\nretention-s = 5|[registry] retention-s: no number from 10 to 86400: 5",
-      "form = etcd|form = etcd\\nprefix = a b|[registry] prefix: not of letters, digits and ._-/ with a slash at its end: a b",
+      "form = etcd|form = etcd\\nprefix = a b|"
+          + "[registry] prefix: not of letters, digits and ._-/ with a slash at its end: a b",
       "form = etcd|form = etcd\\ntrust = /nowhere|[registry] trust: can't be read: /nowhere",
       "form = etcd|form = etcd\\nuser = me|[registry] password: missing: both or neither",
       "form = etcd|form = etcd\\nform = consul|[registry] form: given twice",
