--- a/app/src/test/java/amberpath/HouseTest.java
+++ b/app/src/test/java/amberpath/HouseTest.java
@@ -51,6 +51,13 @@
     noClasses().that(PURE_CLASS).should().callMethodWhere(CLOCK).check(ALL);
   }
 
+  @Test
+  void whatDecidesKnowsNoLiveHalf() {
+    noClasses().that(PURE_CLASS).should().dependOnClassesThat().resideInAnyPackage("..live..", "amberpath.gateway..",
+        "amberpath.msgpack..", "amberpath.resp..", "amberpath.journal..", "amberpath.wire..", "amberpath.json..")
+        .check(ALL);
+  }
+
   @Test
   void theCoreKnowsNothingElseOfTheHouse() {
     noClasses().that(describe("of the core", one -> one.getPackageName().equals("amberpath")
