--- a/gateway/src/main/java/amberpath/gateway/Caches.java
+++ b/gateway/src/main/java/amberpath/gateway/Caches.java
@@ -67,7 +67,8 @@
     if (entry.pool == null) {
       CachePool.Bounds bounds = new CachePool.Bounds(() -> entry.state == State.GONE ? 1 : most,
           options.wantsOnConnection(), options.connectTimeout(), options.connectionIdle(), options.longestAnswer());
-      entry.pool = new CachePool(entry.id, entry.address, client, bounds, clock::now, complaints::add);
+      entry.pool = new CachePool(entry.id, entry.address, client, bounds, clock::now, route::mayWrite,
+          complaints::add);
     }
     return entry.pool;
   }
@@ -114,7 +115,7 @@
   @Override public void listed() {
     told = true;
     List<Consumer<Events>> news = List.copyOf(list);
-    route.arrived(null, to -> {
+    route.told(to -> {
       news.forEach(one -> one.accept(to));
       to.listed();
     });
@@ -133,7 +134,18 @@
   }
 
   @Override public void purged(long object, int group, long atMs) {
-    route.arrived(null, to -> to.purged(object, group, Math.max(0, clock.since(atMs))));
+    route.told(to -> to.purged(object, group, Math.max(0, clock.since(atMs))));
+    // Guards purges: what waits for a connection was given the age of a copy that would have done before.
+    pools().forEach(pool -> pool.fail(want -> ((Send.Sent) want).isPurged(object, group), Outcome.NOT_SENT));
+  }
+
+  /** Sends what pools held back. */
+  void again() {
+    pools().forEach(CachePool::again);
+  }
+
+  private List<CachePool> pools() {
+    return byId.values().stream().map(entry -> entry.pool).filter(Objects::nonNull).toList();
   }
 
   /** Leaves idle connections, and lets go of caches that are gone once nothing of theirs is open. */
@@ -160,6 +172,6 @@
 
   void close() {
     client.close();
-    byId.values().stream().map(entry -> entry.pool).filter(Objects::nonNull).forEach(CachePool::close);
+    pools().forEach(CachePool::close);
   }
 }
--- a/gateway/src/main/java/amberpath/gateway/Gateway.java
+++ b/gateway/src/main/java/amberpath/gateway/Gateway.java
@@ -2,6 +2,7 @@
 
 import amberpath.Control;
 import amberpath.Membership;
+import amberpath.NewsAge;
 import amberpath.Strictest;
 import amberpath.journal.Entries;
 import amberpath.journal.JournalClient;
@@ -27,7 +28,7 @@
 
   private static final Logger LOG = Logger.getLogger(Gateway.class.getName());
   /** How long connections and requests come after the word to stop. */
-  private static final long STILL_COMING_MS = 750, CHECK_MS = 20, FLUSH_MS = 100, SWEEP_MS = 250;
+  private static final long STILL_COMING_MS = 750, CHECK_MS = 20, FLUSH_MS = 100, SWEEP_MS = 250, STILL_OWED_MS = 5;
 
   private final Vertx vertx;
   private final Context context;
@@ -36,7 +37,8 @@
   private final Book book = new Book();
   private final Promise<Void> stopped = Promise.promise();
   private final Complaints complaints = new Complaints();
-  private final Standstill standstill = new Standstill(clock);
+  private final NewsAge age;
+  private final Standstill standstill;
   private final Clients clients;
   private final Caches caches;
   private final Relay relay;
@@ -64,11 +66,13 @@
     this.vertx = vertx;
     context = vertx.getOrCreateContext();
     this.options = options;
+    age = new NewsAge(options.newsGrace(), options.journal() != null, clock.now());
+    standstill = new Standstill(clock, age);
     relay = new Relay(vertx, book);
     clients = new Clients(vertx, options.mostClients(), clock);
     caches = new Caches(vertx, options, clock, complaints);
     Send send = new Send(vertx, clock, standstill, caches, relay, book, options.site().maxForwards());
-    route = new Route(vertx, clock, decisions, book, send, relay);
+    route = new Route(vertx, clock, decisions, age, book, send, relay);
     send.endingsTo(route);
     caches.newsTo(route);
     Admit admit = new Admit(options.site(), options.mostOpen(), book, route);
@@ -79,7 +83,7 @@
     journalNews = source == null ? caches : both.port();
     news = source == null ? null : source.make(vertx, sourceNews, options.site().seed());
     journal = options.journal() == null ? null : new JournalClient(vertx, options.journal(), entries, journalNews,
-        JournalClient.WAIT_MS, options.unreadOfAll());
+        JournalClient.WAIT_MS, options.unreadOfAll(), age, clock::now, route::heard);
   }
 
   private void enter(Phase next) {
@@ -134,8 +138,11 @@
     return started.future();
   }
 
+  /** Guards against clients that are let in before what came since the start is known. */
   private void serve(Promise<Gateway> started) {
-    if (phase == Phase.STARTING) {
+    if (phase == Phase.STARTING && age.owed()) {
+      vertx.setTimer(STILL_OWED_MS, later -> serve(started));
+    } else if (phase == Phase.STARTING) {
       enter(Phase.SERVING);
       LOG.info(options.name() + ": listens at " + options.listen().hostAddress() + ":" + port());
       started.complete(this);
--- a/gateway/src/main/java/amberpath/gateway/GatewayOptions.java
+++ b/gateway/src/main/java/amberpath/gateway/GatewayOptions.java
@@ -20,12 +20,13 @@
   private static final int LONGEST_ANSWER = 240_000;
   /** From the word to stop to the kill: the longest viewer timeout, or this where it is longer; then some more. */
   private static final long LONGEST_STOP = 3_000_000_000L, KILL_AFTER_THAT = 500_000_000;
+  private static final long DRAIN_GRACE = 250_000_000, PURGE_GRACE = 300_000_000;
 
   private final String name;
   private final SocketAddress listen, journal;
   private final JsonSite site;
   private final Fields known;
-  private final long connectTimeout, connectionIdle, lastAnswers;
+  private final long connectTimeout, connectionIdle, lastAnswers, newsGrace;
   private final int wantsOnConnection, mostOpen, descriptors;
   private final long memory;
 
@@ -43,6 +44,8 @@
     Fields bounds = settings.fieldsOr("bounds");
     connectTimeout = bounds.timeOr("connect-timeout-s", 400_000_000);
     connectionIdle = bounds.timeOr("conn-idle-s", 30_000_000_000L);
+    newsGrace = Math.min(settings.fieldsOr("guarantees").timeOr("drain-grace-s", DRAIN_GRACE),
+        settings.fieldsOr("family-info").timeOr("heed-within-s", PURGE_GRACE));
     wantsOnConnection = Math.max(1, bounds.place("multiplex", 1));
     mostOpen = Math.max(1, bounds.place("max-open", Integer.MAX_VALUE));
     long longest = 0;
@@ -141,6 +144,11 @@
     return connectionIdle * 3 / 4;
   }
 
+  /** Within what time a drain or a purge has to be heeded: the shorter of the two. */
+  public long newsGrace() {
+    return newsGrace;
+  }
+
   public int wantsOnConnection() {
     return wantsOnConnection;
   }
--- a/gateway/src/main/java/amberpath/gateway/Route.java
+++ b/gateway/src/main/java/amberpath/gateway/Route.java
@@ -3,6 +3,7 @@
 import amberpath.Arrivals;
 import amberpath.Arrivals.Events;
 import amberpath.Decisions;
+import amberpath.NewsAge;
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
 import java.util.List;
@@ -10,7 +11,10 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
-/** Third stage: what a turn of the loop brought is one round of the decisions, carried out at once. */
+/**
+ * Third stage: what a turn of the loop brought is one round of the decisions, carried out at once. While news of caches
+ * and purges may be too old to decide by, rounds wait, for no longer than {@link NewsAge} says; news goes first in each.
+ */
 final class Route implements Decisions, Arrivals {
   private static final Logger LOG = Logger.getLogger(Route.class.getName());
   private static final long BACKSTOP_MS = 25;
@@ -26,16 +30,20 @@
   private final Vertx vertx;
   private final Clock clock;
   private final Rounds decisions;
+  private final NewsAge age;
   private final Book book;
   private final Send send;
   private final Relay relay;
-  private List<Arrival> arrivals = new ArrayList<>();
+  /** Bounded by the open GETs, their forwards and timers, and by the length of a reply of the journal. */
+  private List<Arrival> news = new ArrayList<>(), arrivals = new ArrayList<>();
   private List<Arrival> round = List.of();
+  private boolean due, reading, held;
 
-  Route(Vertx vertx, Clock clock, Rounds decisions, Book book, Send send, Relay relay) {
+  Route(Vertx vertx, Clock clock, Rounds decisions, NewsAge age, Book book, Send send, Relay relay) {
     this.vertx = vertx;
     this.clock = clock;
     this.decisions = decisions;
+    this.age = age;
     this.book = book;
     this.send = send;
     this.relay = relay;
@@ -53,17 +61,72 @@
 
   /** Takes an event into this turn's round; get is the one that it belongs to, if any. */
   void arrived(OpenGet get, Consumer<Events> event) {
-    if (arrivals.isEmpty()) {
-      vertx.runOnContext(turn -> round());
-    }
     arrivals.add(new Arrival(get, event));
     if (get != null) {
       get.events++;
     }
+    soon();
+  }
+
+  /** The same for news of caches and purges. Guards against GETs that came with it and would be decided without it. */
+  void told(Consumer<Events> event) {
+    news.add(new Arrival(null, event));
+    soon();
+  }
+
+  /** Whether a forward may be written now; one that may not is taken up again before the next round. */
+  boolean mayWrite() {
+    boolean may = age.decides(clock.now());
+    if (!may) {
+      held = true;
+      soon();
+    }
+    return may;
+  }
+
+  private void soon() {
+    if (!due) {
+      due = true;
+      vertx.runOnContext(turn -> round());
+    }
+  }
+
+  /** The journal has replied or failed: what waited for that need not any more. */
+  void heard() {
+    if (due) {
+      vertx.runOnContext(turn -> round());
+    }
+  }
+
+  /** Reads the sockets before the next round. Guards against decisions by what was read before the loop stood still. */
+  private void readFirst() {
+    if (!reading && !age.owed()) {
+      reading = true;
+      long by = clock.now();
+      vertx.setTimer(1, read -> { // A timer set now comes after the loop has read once more.
+        reading = false;
+        age.read(by);
+        round();
+      });
+    }
   }
 
   private void round() {
-    round = arrivals;
+    if (!due) {
+      return;
+    }
+    if (!age.decides(clock.now())) {
+      readFirst();
+      return;
+    }
+    due = false;
+    if (held) {
+      held = false;
+      send.again();
+    }
+    news.addAll(arrivals);
+    round = news;
+    news = new ArrayList<>();
     arrivals = new ArrayList<>();
     try {
       decisions.round(clock.now(), this, this);
--- a/gateway/src/main/java/amberpath/gateway/Send.java
+++ b/gateway/src/main/java/amberpath/gateway/Send.java
@@ -2,6 +2,7 @@
 
 import amberpath.Arrivals.Note;
 import amberpath.Arrivals.Outcome;
+import amberpath.Membership;
 import amberpath.resp.CachePool;
 import amberpath.resp.Want;
 import io.vertx.core.Vertx;
@@ -54,6 +55,11 @@
     sent.pool.send(sent);
   }
 
+  /** What was held back while news was too old goes on. */
+  void again() {
+    caches.again();
+  }
+
   private byte[] fields(OpenGet get, int cache, int source, long age, int rank, int switches) {
     ByteArrayOutputStream out = new ByteArrayOutputStream(160);
     put(out, "kind=", get.asked.service().getBytes(StandardCharsets.UTF_8));
@@ -116,6 +122,11 @@
       stoodBefore = standstill.soFar();
     }
 
+    boolean isPurged(long object, int group) {
+      return group == Membership.EVERYTHING || (object != 0 ? object == get.asked.objectId()
+          : group == get.asked.group());
+    }
+
     private void late() {
       givenUp(isWritten() ? Outcome.NO_ANSWER : Outcome.NO_CONNECTION, true);
     }
--- a/gateway/src/main/java/amberpath/gateway/Standstill.java
+++ b/gateway/src/main/java/amberpath/gateway/Standstill.java
@@ -1,5 +1,6 @@
 package amberpath.gateway;
 
+import amberpath.NewsAge;
 import io.vertx.core.Vertx;
 
 /** How long this gateway itself stood still, for want of CPU or in a pause of the runtime: a tick that comes late. */
@@ -7,18 +8,23 @@
   private static final long TICK_MS = 10, SEEN_NS = 5_000_000;
 
   private final Clock clock;
-  private long due = Long.MAX_VALUE, total;
+  private final NewsAge news;
+  private long due = Long.MAX_VALUE, total, ticked;
 
-  Standstill(Clock clock) {
+  Standstill(Clock clock, NewsAge news) {
     this.clock = clock;
+    this.news = news;
   }
 
   /** Returns the timer's id. */
   long watch(Vertx vertx) {
-    due = clock.now() + TICK_MS * 1_000_000;
+    ticked = clock.now();
+    due = ticked + TICK_MS * 1_000_000;
     return vertx.setPeriodic(TICK_MS, tick -> {
       total = soFar();
-      due = clock.now() + TICK_MS * 1_000_000;
+      news.read(ticked); // Between two ticks the loop has read all of its sockets.
+      ticked = clock.now();
+      due = ticked + TICK_MS * 1_000_000;
     });
   }
 
--- a/gateway/src/main/java/amberpath/resp/CachePool.java
+++ b/gateway/src/main/java/amberpath/resp/CachePool.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
@@ -23,20 +24,22 @@
   private final NetClient client;
   private final Bounds bounds;
   private final LongSupplier clock;
+  private final BooleanSupplier mayWrite;
   private final BiConsumer<Object, String> complaints;
   private final List<CacheConnection> connections = new ArrayList<>();
   private final List<Want> waiting = new ArrayList<>();
   private int connecting;
   private boolean closed;
 
-  /** Complaints are told of answers that can't be used. */
+  /** Complaints are told of answers that can't be used; wants wait for {@link #again} while none may be written. */
   public CachePool(String name, SocketAddress address, NetClient client, Bounds bounds, LongSupplier clock,
-      BiConsumer<Object, String> complaints) {
+      BooleanSupplier mayWrite, BiConsumer<Object, String> complaints) {
     this.name = name;
     this.address = address;
     this.client = client;
     this.bounds = bounds;
     this.clock = clock;
+    this.mayWrite = mayWrite;
     this.complaints = complaints;
   }
 
@@ -58,6 +61,10 @@
       want.ended(Outcome.NO_CONNECTION, Note.NOTHING, null);
       return;
     }
+    if (!mayWrite.getAsBoolean()) { // Guards against a drain or a purge that came after the decision.
+      waiting.add(want);
+      return;
+    }
     long now = now();
     CacheConnection best = best(want, now);
     if (best != null) {
@@ -120,7 +127,8 @@
     again();
   }
 
-  private void again() {
+  /** Takes up again what waits. */
+  public void again() {
     List<Want> ready = new ArrayList<>(waiting);
     waiting.clear();
     ready.forEach(this::send);
--- a/gateway/src/test/java/amberpath/resp/ReplyReaderTest.java
+++ b/gateway/src/test/java/amberpath/resp/ReplyReaderTest.java
@@ -78,7 +78,7 @@
     NetClient client = (NetClient) Proxy.newProxyInstance(getClass().getClassLoader(),
         new Class<?>[] {NetClient.class}, (proxy, method, arguments) -> connection.future());
     CachePool pool = new CachePool("c0", SocketAddress.inetSocketAddress(1, "127.0.0.1"), client,
-        new CachePool.Bounds(() -> 1, 100, 1, 1, 100), () -> 0, (from, why) -> { });
+        new CachePool.Bounds(() -> 1, 100, 1, 1, 100), () -> 0, () -> true, (from, why) -> { });
     Want drained = want();
     pool.send(drained);
     pool.send(want());
