--- a/core/src/main/java/amberpath/Control.java
+++ b/core/src/main/java/amberpath/Control.java
@@ -346,8 +346,9 @@
     get.unfilled |= note == Note.ORIGIN_ERRORED; // Another parent would only ask the same origin again.
     boolean heldOnly = last.heldOnly && outcome == Outcome.NOT_STORED;
     boolean source = note.compareTo(Note.SOURCE_TURNED_AWAY) >= 0 && note != Note.NO_PLACE;
-    further += heldOnly || get.unfilled ? 1 : 0;
-    if (!heldOnly && !get.unfilled) {
+    boolean unsent = outcome == Outcome.NOT_SENT; // A purge or a drain came before it was: its cache is as good.
+    further += heldOnly || get.unfilled || unsent ? 1 : 0;
+    if (!heldOnly && !get.unfilled && !unsent) {
       get.tried.add(source ? last.source : last.cache);
     }
     if (heldOnly && (source(get) == null || crowdedOrigin(get))
--- a/core/src/main/java/amberpath/NewsAge.java
+++ b/core/src/main/java/amberpath/NewsAge.java
@@ -41,6 +41,7 @@
 
   /** The journal is asked for what comes after all that is known. */
   public void asked(long now) {
+    owed |= now - readAt > bound && late < MOST_LATE; // The loop stood between a reply and this.
     askedAt = now;
   }
 
--- a/gateway/src/test/java/amberpath/gateway/GatewayTest.java
+++ b/gateway/src/test/java/amberpath/gateway/GatewayTest.java
@@ -852,4 +852,192 @@
       to.woken(handle);
     }
   }
+
+  // ---- News that is too old to decide by.
+
+  /** Decisions in whose next round the loop stands still until it is let go. */
+  private final class Standing implements Route.Rounds {
+    private final Route.Rounds decisions;
+    final CountDownLatch stands = new CountDownLatch(1), letGo = new CountDownLatch(1);
+    volatile boolean armed;
+
+    Standing(GatewayOptions options) {
+      decisions = new Control(options.site())::round;
+    }
+
+    @Override public void round(long now, Arrivals in, amberpath.Decisions to) {
+      decisions.round(now, in, to);
+      if (armed) {
+        armed = false;
+        stands.countDown();
+        try {
+          letGo.await(PATIENCE_MS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+          Thread.currentThread().interrupt();
+        }
+      }
+    }
+  }
+
+  private static final long PATIENCE_MS = 5000, STANDS_MS = 400;
+
+  /** A second world, with two caches; its loop stands still from the next round on. */
+  private Standing standing(StandIns other, Cache... caches) throws Exception {
+    for (int at = 0; at < caches.length; at++) {
+      other.journal.host("c" + at, caches[at].address(), "box", "ready");
+    }
+    GatewayOptions options = GatewayOptions.read(other.environment(folder));
+    Standing decisions = new Standing(options);
+    other.start(options, decisions);
+    return decisions;
+  }
+
+  @ParameterizedTest
+  @CsvSource({"draining, false", "gone, false", "draining, true", "gone, true"})
+  void afterAStandstillNewsIsHeardBeforeGetsAreDecided(String state, boolean pollEnded) throws Exception {
+    try (StandIns other = new StandIns()) {
+      Cache[] caches = {other.cache(), other.cache()};
+      Standing decisions = standing(other, caches);
+      Client till = other.client();
+      till.get(1, "parts", 4000, 0);
+      Command first = null;
+      for (int at = 0; first == null; at ^= 1) {
+        first = caches[at].commands.poll(20, TimeUnit.MILLISECONDS);
+      }
+      int hashed = caches[0].server.getLocalPort() == first.from().getLocalPort() ? 0 : 1;
+      first.ok("before");
+      assertEquals("before", text(till.answer()));
+      decisions.armed = true;
+      Client waker = other.client();
+      waker.get(2, "parts", 4000, 0);
+      assertTrue(decisions.stands.await(PATIENCE_MS, TimeUnit.MILLISECONDS));
+      till.get(3, "parts", 4000, 0);
+      if (pollEnded) { // Its reply waits at the gateway; what comes after that waits at the journal.
+        other.journal.add("\"expire\":{\"set\":200,\"stamp\":1}");
+        Thread.sleep(STANDS_MS / 4);
+      }
+      other.journal.host("c" + hashed, caches[hashed].address(), "box", state);
+      Thread.sleep(STANDS_MS);
+      decisions.letGo.countDown();
+      Command late = caches[1 - hashed].next();
+      assertEquals("0000000000000003", late.word(1));
+      late.ok("after");
+      assertEquals("after", text(till.answer()));
+      assertTrue(caches[hashed].commands.stream().noneMatch(one -> one.word(1).equals("0000000000000003")));
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void afterAStandstillPurgesAreHeardBeforeGetsAreDecided(boolean pollEnded) throws Exception {
+    try (StandIns other = new StandIns()) {
+      Cache only = other.cache();
+      Standing decisions = standing(other, only);
+      decisions.armed = true;
+      other.client().get(1, "parts", 4000, 0);
+      assertTrue(decisions.stands.await(PATIENCE_MS, TimeUnit.MILLISECONDS));
+      other.client().get(2, "parts", 4000, 0);
+      if (pollEnded) {
+        other.journal.add("\"expire\":{\"set\":200,\"stamp\":1}");
+        Thread.sleep(STANDS_MS / 4);
+      }
+      other.journal.add("\"expire\":{\"set\":17,\"stamp\":" + System.currentTimeMillis() + "}");
+      Thread.sleep(STANDS_MS);
+      decisions.letGo.countDown();
+      assertNotNull(only.next().field("within"), "it waited for its connection");
+      assertNotNull(only.next().field("within"));
+    }
+  }
+
+  @Test
+  void aGetThatComesBeforeTheFirstNewsIsDecidedAfterIt() throws Exception {
+    try (StandIns other = new StandIns()) {
+      Cache only = other.cache();
+      other.journal.host("c0", only.address(), "box", "ready");
+      GatewayOptions options = GatewayOptions.read(other.environment(folder));
+      other.journal.add("\"expire\":{\"set\":17,\"stamp\":" + System.currentTimeMillis() + "}");
+      other.journal.instead = ""; // The journal does not reply yet.
+      other.gateway = new Gateway(other.vertx, options);
+      var started = other.gateway.start();
+      assertNotNull(other.journal.polls.poll(PATIENCE_MS, TimeUnit.MILLISECONDS));
+      Client early = other.client().get(1, "parts", 4000, 0);
+      assertNull(only.commands.poll(STANDS_MS / 2, TimeUnit.MILLISECONDS));
+      assertFalse(early.socket.getInputStream().available() > 0);
+      other.journal.instead = null;
+      assertNotNull(only.next().field("within"));
+      started.toCompletionStage().toCompletableFuture().get(PATIENCE_MS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  @Test
+  void aGatewayWhoseJournalIsGoneAtTheStartServesAllTheSame() throws Exception {
+    try (StandIns other = new StandIns()) {
+      Cache only = other.cache();
+      other.journal.host("c0", only.address(), "box", "ready");
+      GatewayOptions options = GatewayOptions.read(other.environment(folder));
+      other.journal.server.stop(0);
+      other.start(options, null);
+      Client till = other.client();
+      till.get(1, "parts", 1500, 0);
+      only.next().ok("old news");
+      assertEquals("old news", text(till.answer()));
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"\"set\":17", "\"name\":\"7f3a9c21e0b4d655\""})
+  void whatWaitsForAConnectionWhenItsObjectIsPurgedIsNeverSent(String what) throws Exception {
+    try (StandIns other = new StandIns()) {
+      other.journal.host("c0", other.fullAddress(), "box", "ready");
+      GatewayOptions options = GatewayOptions.read(other.environment(folder));
+      BlockingQueue<Arrivals.Outcome> outcomes = new LinkedBlockingQueue<>();
+      other.start(options, (now, in, to) -> in.replay(new Nobody() {
+        @Override public void get(long id, int ds, long object, int group, int part, long timeLeft, double kb,
+            boolean write) {
+          to.forward(id, 0, 0, 0, 0, 0, 0);
+        }
+
+        @Override public void ended(long id, int copy, int cache, Arrivals.Outcome outcome, long took,
+            boolean settled, Arrivals.Note note) {
+          outcomes.add(outcome);
+        }
+      }));
+      other.client().get(1, "parts", 4000, 0);
+      Thread.sleep(STANDS_MS / 4);
+      other.journal.add("\"expire\":{" + what + ",\"stamp\":" + System.currentTimeMillis() + "}");
+      assertEquals(Arrivals.Outcome.NOT_SENT, outcomes.poll(PATIENCE_MS, TimeUnit.MILLISECONDS));
+    }
+  }
+
+  private static class Nobody implements Arrivals.Events {
+    @Override public void listing(Arrivals.Listing what) {
+    }
+
+    @Override public void member(int one, String id, String zone, String kind, int cell, Arrivals.State state,
+        double weight, long startedAt) {
+    }
+
+    @Override public void listed() {
+    }
+
+    @Override public void get(long id, int ds, long object, int group, int part, long timeLeft, double kb,
+        boolean write) {
+    }
+
+    @Override public void begun(long id, int copy) {
+    }
+
+    @Override public void ended(long id, int copy, int one, Arrivals.Outcome outcome, long took, boolean settled,
+        Arrivals.Note note) {
+    }
+
+    @Override public void left(long id) {
+    }
+
+    @Override public void purged(long object, int group, long ago) {
+    }
+
+    @Override public void woken(String handle) {
+    }
+  }
 }
