--- a/app/src/main/java/amberpath/cli/LabCommand.java
+++ b/app/src/main/java/amberpath/cli/LabCommand.java
@@ -2,6 +2,7 @@
 
 import amberpath.lab.Demo;
 import amberpath.lab.Experiment;
+import amberpath.lab.Flood;
 import amberpath.lab.Runs;
 import amberpath.lab.plan.PlannersModel;
 import amberpath.lab.registry.RegistryDay;
@@ -24,7 +25,7 @@
 
 /** Experiments on loopback or on a virtual clock. The last line of each is one JSON object. */
 @Command(name = "lab", mixinStandardHelpOptions = true, description = "Tries a gateway among stand-ins.",
-    synopsisSubcommandLabel = "EXPERIMENT", subcommands = {LabCommand.DemoCommand.class,
+    synopsisSubcommandLabel = "EXPERIMENT", subcommands = {LabCommand.DemoCommand.class, LabCommand.FloodCommand.class,
         LabCommand.RegistryDayCommand.class, LabCommand.RegistryModelCommand.class,
         LabCommand.PlannersModelCommand.class, LabCommand.Size.class,
         LabCommand.StandIn.class})
@@ -55,6 +56,7 @@
   int list() {
     System.out.println("""
         demo            a gateway among stand-ins: a cache dies, one is drained; what came of each GET
+        flood           three times the GETs that a gateway bears; what it answers, and how late its loop is
         registry        a gateway on sockets while its registry changes, compacts, lags and breaks off
         registry-model  the registry's pure half on a virtual clock, faults in any order
         planners-model  terms, grants and shares of planners and forwarders on a virtual clock
@@ -74,6 +76,17 @@
     }
   }
 
+  @Command(name = "flood", mixinStandardHelpOptions = true, description = "More GETs than a gateway can bear.")
+  static final class FloodCommand extends Common implements Callable<Integer> {
+    @Option(names = "--seconds", defaultValue = "4", description = "For each rate. Default: ${DEFAULT-VALUE}.")
+    private int seconds;
+
+    @Override public Integer call() throws Exception {
+      quietly();
+      return done(Flood.run(seed, seconds, System.out));
+    }
+  }
+
   @Command(name = "registry", mixinStandardHelpOptions = true,
       description = "A gateway on sockets while its registry changes and breaks off at random.")
   static final class RegistryDayCommand extends Common implements Callable<Integer> {
--- a/core/src/main/java/amberpath/Arrivals.java
+++ b/core/src/main/java/amberpath/Arrivals.java
@@ -11,7 +11,9 @@
   /** How a forward ended. */
   enum Outcome {
     RETURNED(false), ERRORED(false), TURNED_AWAY(true), NO_ANSWER(false), NO_CONNECTION(true), LOST(false),
-    CALLED_OFF(false), NOT_SENT(true), NOT_STORED(true);
+    CALLED_OFF(false), NOT_SENT(true), NOT_STORED(true),
+    /** Never written, since news came before its connection: its cache is as good as before, if it is still up. */
+    HELD_BACK(true);
 
     /** Whether the outcome proves that the GET had no effect. */
     public final boolean notRun;
--- a/core/src/main/java/amberpath/Control.java
+++ b/core/src/main/java/amberpath/Control.java
@@ -346,7 +346,7 @@
     get.unfilled |= note == Note.ORIGIN_ERRORED; // Another parent would only ask the same origin again.
     boolean heldOnly = last.heldOnly && outcome == Outcome.NOT_STORED;
     boolean source = note.compareTo(Note.SOURCE_TURNED_AWAY) >= 0 && note != Note.NO_PLACE;
-    boolean unsent = outcome == Outcome.NOT_SENT; // A purge or a drain came before it was: its cache is as good.
+    boolean unsent = outcome == Outcome.HELD_BACK; // Guards its cache and the cap: it asked nothing.
     further += heldOnly || get.unfilled || unsent ? 1 : 0;
     if (!heldOnly && !get.unfilled && !unsent) {
       get.tried.add(source ? last.source : last.cache);
--- /dev/null
+++ b/core/src/test/java/amberpath/PaceTest.java
@@ -0,0 +1,86 @@
+package amberpath;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Stories of a loop with too much to do. */
+class PaceTest {
+  private static final long MS = 1_000_000, TICK = 10 * MS, WAIT = 1000 * MS;
+
+  private final Pace pace = new Pace(7, WAIT);
+  private long now;
+
+  @Test
+  void onePauseShedsNothing() {
+    turn(400 * MS);
+    for (int get = 0; get < 500; get++) {
+      assertTrue(pace.takes());
+    }
+    turn(30 * MS);
+    turn(0);
+    assertFalse(pace.sheds());
+  }
+
+  @Test
+  void pausesApartShedNothing() {
+    for (int at = 0; at < 50; at++) {
+      turn(200 * MS);
+      turn(0);
+    }
+    assertFalse(pace.sheds());
+  }
+
+  /** A loop whose GETs cost so much that it bears so many a second, and to which some times as many come. */
+  @ParameterizedTest
+  @ValueSource(doubles = {1.2, 3, 10})
+  void underManyTimesWhatItBearsTheLoopIsSoonOnTimeAndStaysBusy(double times) {
+    long cost = MS, cheap = cost / 30;
+    double owed = 0;
+    long lag = 0, answered = 0, worst = 0;
+    for (int turn = 0; turn < 3000; turn++) {
+      turn(Math.max(0, lag - TICK));
+      owed += Math.max(TICK, lag) * times / cost;
+      long work = 0;
+      for (; owed >= 1; owed--) {
+        boolean takes = pace.takes();
+        answered += takes && turn >= 200 ? 1 : 0;
+        work += takes ? cost : cheap;
+      }
+      lag = work;
+      worst = turn >= 200 ? Math.max(worst, lag) : worst;
+    }
+    assertTrue(worst <= 50 * MS, "a turn of " + worst / MS + " ms");
+    assertTrue(answered * cost > 0.5 * (now - 200 * TICK), answered + " of " + now / cost);
+  }
+
+  @Test
+  void whenTheLoadIsGoneAllAreTakenAgain() {
+    for (int turn = 0; turn < 20; turn++) {
+      pace.takes();
+      turn(90 * MS);
+    }
+    assertTrue(pace.sheds());
+    for (int turn = 0; turn < 60; turn++) {
+      turn(0);
+    }
+    assertFalse(pace.sheds());
+  }
+
+  @Test
+  void thoseWhoAreShedStayAwayForSomeTimeAndComeBackSpread() {
+    long first = pace.away();
+    assertTrue(first >= WAIT / 2 && first <= WAIT);
+    assertTrue(first != pace.away());
+    assertEquals(0, new Pace(7, 0).away());
+  }
+
+  private void turn(long late) {
+    now += TICK + late;
+    pace.turn(now, late);
+  }
+}
--- a/gateway/src/main/java/amberpath/gateway/Gateway.java
+++ b/gateway/src/main/java/amberpath/gateway/Gateway.java
@@ -3,6 +3,8 @@
 import amberpath.Control;
 import amberpath.Membership;
 import amberpath.NewsAge;
+import amberpath.Pace;
+import amberpath.Site;
 import amberpath.Strictest;
 import amberpath.journal.Entries;
 import amberpath.journal.JournalClient;
@@ -67,7 +69,9 @@
     context = vertx.getOrCreateContext();
     this.options = options;
     age = new NewsAge(options.newsGrace(), options.journal() != null, clock.now());
-    standstill = new Standstill(clock, age);
+    Site site = options.site();
+    Pace pace = new Pace(site.seed(), site.retryAfter() ? site.maxRetryAfter() : 0);
+    standstill = new Standstill(clock, age, pace);
     relay = new Relay(vertx, book);
     clients = new Clients(vertx, options.mostClients(), clock);
     caches = new Caches(vertx, options, clock, complaints);
@@ -76,7 +80,7 @@
     send.endingsTo(route);
     caches.newsTo(route);
     Admit admit = new Admit(options.site(), options.mostOpen(), book, route);
-    takeIn = new TakeIn(clock, book, admit, route, relay, clients, complaints,
+    takeIn = new TakeIn(clock, book, admit, route, relay, clients, complaints, pace,
         () -> phase == Phase.SERVING && caches.told());
     Strictest both = new Strictest(caches);
     Membership sourceNews = source == null || options.journal() == null ? caches : both.port();
--- a/gateway/src/main/java/amberpath/gateway/Standstill.java
+++ b/gateway/src/main/java/amberpath/gateway/Standstill.java
@@ -1,6 +1,7 @@
 package amberpath.gateway;
 
 import amberpath.NewsAge;
+import amberpath.Pace;
 import io.vertx.core.Vertx;
 
 /** How long this gateway itself stood still, for want of CPU or in a pause of the runtime: a tick that comes late. */
@@ -9,11 +10,13 @@
 
   private final Clock clock;
   private final NewsAge news;
+  private final Pace pace;
   private long due = Long.MAX_VALUE, total, ticked;
 
-  Standstill(Clock clock, NewsAge news) {
+  Standstill(Clock clock, NewsAge news, Pace pace) {
     this.clock = clock;
     this.news = news;
+    this.pace = pace;
   }
 
   /** Returns the timer's id. */
@@ -23,6 +26,7 @@
     return vertx.setPeriodic(TICK_MS, tick -> {
       total = soFar();
       news.read(ticked); // Between two ticks the loop has read all of its sockets.
+      pace.turn(clock.now(), Math.max(0, clock.now() - due));
       ticked = clock.now();
       due = ticked + TICK_MS * 1_000_000;
     });
--- a/gateway/src/main/java/amberpath/gateway/TakeIn.java
+++ b/gateway/src/main/java/amberpath/gateway/TakeIn.java
@@ -1,5 +1,6 @@
 package amberpath.gateway;
 
+import amberpath.Pace;
 import amberpath.msgpack.ClientConnection;
 import amberpath.msgpack.ClientGet;
 import amberpath.msgpack.ClientHandler;
@@ -14,10 +15,11 @@
   private final Relay relay;
   private final Clients clients;
   private final Complaints complaints;
+  private final Pace pace;
   private final BooleanSupplier ready;
 
   TakeIn(Clock clock, Book book, Admit admit, Route route, Relay relay, Clients clients, Complaints complaints,
-      BooleanSupplier ready) {
+      Pace pace, BooleanSupplier ready) {
     this.clock = clock;
     this.book = book;
     this.admit = admit;
@@ -25,9 +27,18 @@
     this.relay = relay;
     this.clients = clients;
     this.complaints = complaints;
+    this.pace = pace;
     this.ready = ready;
   }
 
+  @Override public boolean takes() {
+    return pace.takes();
+  }
+
+  @Override public long away() {
+    return pace.away();
+  }
+
   @Override public void get(ClientConnection from, long number, ClientGet get) {
     admit.get(from, number, get, clock.now() + get.allow());
   }
--- a/gateway/src/main/java/amberpath/msgpack/ClientConnection.java
+++ b/gateway/src/main/java/amberpath/msgpack/ClientConnection.java
@@ -109,6 +109,11 @@
             .packMapHeader(0)));
         return;
       }
+      if (!handler.takes()) { // Guards what was taken against what can't be borne beside it.
+        asked = true;
+        shed(number, handler.away());
+        return;
+      }
       if (params < 1 || params > 2) {
         throw new Unusable("not fields and a body");
       }
--- a/gateway/src/main/java/amberpath/msgpack/ClientHandler.java
+++ b/gateway/src/main/java/amberpath/msgpack/ClientHandler.java
@@ -2,6 +2,12 @@
 
 /** Takes what clients say. */
 public interface ClientHandler {
+  /** Whether one more GET is taken now; one that is not is shed before the rest of it is read. */
+  boolean takes();
+
+  /** How long a client that is shed so is asked to stay away, in nanoseconds; 0 for no advice. */
+  long away();
+
   /** A GET that can be read; the client's number for it is open until it is answered or withdrawn. */
   void get(ClientConnection from, long number, ClientGet get);
 
--- /dev/null
+++ b/lab/src/main/java/amberpath/lab/Flood.java
@@ -0,0 +1,83 @@
+package amberpath.lab;
+
+import amberpath.registry.live.RegistryAccess;
+import amberpath.registry.live.RegistrySource;
+import java.io.PrintStream;
+import java.util.Locale;
+import org.HdrHistogram.Histogram;
+
+/**
+ * More GETs than a gateway can bear: first the rate is doubled until its loop is late, then three times what it bore.
+ * Clients send on a schedule whatever comes back. The gateway has a quarter of a core, so that the clients have enough.
+ */
+public final class Flood {
+  private static final int FIRST = 500, MOST = 16_000, TILLS = 48, OVER = 3, PARTS = 4;
+  private static final long TICK_MS = 10, HIGHEST_US = 10_000_000, LAG_US = 50_000, BORNE_US = 40_000;
+  private static final double SERVED = 0.98, KEPT = 0.5;
+
+  private Flood() {
+  }
+
+  /** What came of one rate. */
+  private record Stretch(int rate, double returned, double shed, long lost, long lagUs, long latencyUs) {
+  }
+
+  /** Plays each rate for so many seconds. */
+  public static Experiment run(long seed, int seconds, PrintStream out) throws Exception {
+    Experiment result = new Experiment(seed);
+    Stretch borne = null;
+    out.println("first with cold code, which counts for nothing:");
+    play(seed, FIRST, seconds, out);
+    for (int rate = FIRST; rate <= MOST; rate *= 2) {
+      Stretch one = play(seed, rate, seconds, out);
+      if (one.returned < SERVED * rate || one.lagUs > BORNE_US) {
+        break;
+      }
+      borne = one;
+    }
+    if (borne == null) {
+      return result.bar("bears " + FIRST + " GETs a second", false);
+    }
+    Stretch over = play(seed, OVER * borne.rate, seconds, out);
+    return result.figure("borne", borne.rate).figure("offered", over.rate).figure("returned", (long) over.returned)
+        .figure("shed", (long) over.shed).figure("lost", over.lost).figure("lag_p99_ms", over.lagUs / 1000.0)
+        .figure("latency_p99_ms", over.latencyUs / 1000.0)
+        .bar("the loop's lag under 50 ms, 99 of 100 ticks", over.lagUs <= LAG_US)
+        .bar("no GET lost", over.lost == 0)
+        .bar("half of what it bore is still returned", over.returned >= KEPT * borne.rate);
+  }
+
+  private static Stretch play(long seed, int rate, int seconds, PrintStream out) throws Exception {
+    try (World world = new World(seed)) {
+      world.open(1, 4);
+      world.serve((vertx, to, chance) -> new RegistrySource(vertx, world.access(RegistryAccess.Form.ETCD), to, chance));
+      world.slowGateway(PARTS);
+      Tills tills = new Tills(world.vertx, LabSite.CLIPS, 1500, seed, got -> { });
+      World.await(world.on(() -> tills.start(world.gateway.port(), TILLS, rate)));
+      Thread.sleep(seconds * 500L); // Its code is cold at first.
+      long[] before = world.on(() -> ends(tills));
+      Histogram lag = new Histogram(HIGHEST_US, 3);
+      world.watchGateway(TICK_MS, late -> lag.recordValue(Math.max(0, Math.min(HIGHEST_US, late / 1000))));
+      Thread.sleep(seconds * 1000L);
+      long[] after = world.on(() -> ends(tills));
+      world.on(() -> {
+        tills.stop();
+        return null;
+      });
+      Thread.sleep(1700);
+      return world.on(() -> {
+        tills.settle();
+        Stretch one = new Stretch(rate, (after[0] - before[0]) / (double) seconds,
+            (after[1] - before[1]) / (double) seconds, tills.ended(Tills.End.LOST),
+            lag.getValueAtPercentile(99), tills.latency().getValueAtPercentile(99));
+        out.printf(Locale.ROOT, "%6d GETs/s: returned %.0f, shed %.0f, lost %d; lag p99 %.1f ms, answers p99 %.1f ms%n",
+            rate, one.returned, one.shed, one.lost, one.lagUs / 1e3, one.latencyUs / 1e3);
+        return one;
+      });
+    }
+  }
+
+  private static long[] ends(Tills tills) {
+    return new long[] {tills.ended(Tills.End.RETURNED), tills.ended(Tills.End.SHED)};
+  }
+}
