--- a/lab/src/main/java/amberpath/lab/Flood.java
+++ b/lab/src/main/java/amberpath/lab/Flood.java
@@ -11,7 +11,7 @@
  * Clients send on a schedule whatever comes back. The gateway has a quarter of a core, so that the clients have enough.
  */
 public final class Flood {
-  private static final int FIRST = 500, MOST = 16_000, TILLS = 48, OVER = 3, PARTS = 4;
+  private static final int FIRST = 500, MOST = 16_000, TILLS = 192, OVER = 3, PARTS = 4;
   private static final long TICK_MS = 10, HIGHEST_US = 10_000_000, LAG_US = 50_000, BORNE_US = 40_000;
   private static final double SERVED = 0.98, KEPT = 0.5;
 
