--- a/app/src/main/java/amberpath/cli/LabCommand.java
+++ b/app/src/main/java/amberpath/cli/LabCommand.java
@@ -35,6 +35,8 @@
       Logger.getLogger("amberpath.registry"), Logger.getLogger("amberpath.gateway.Complaints"),
       Logger.getLogger("io.vertx"), Logger.getLogger("io.netty"));
 
+  private static final int DEMO_S = 9, FLOOD_S = 4, REGISTRY_S = 16;
+
   /** What all experiments take. */
   static class Common {
     @Option(names = "--seed", defaultValue = "1", description = "Gives all chance. Default: ${DEFAULT-VALUE}.")
@@ -65,40 +67,42 @@
     return AmberpathCommand.DONE;
   }
 
-  @Command(name = "demo", mixinStandardHelpOptions = true, description = "The main job, seen.")
-  static final class DemoCommand extends Common implements Callable<Integer> {
-    @Option(names = "--seconds", defaultValue = "9", description = "How long. Default: ${DEFAULT-VALUE}.")
-    private int seconds;
+  /** So many seconds on sockets. */
+  abstract static class SocketsCommand extends Common implements Callable<Integer> {
+    @Option(names = "--seconds", description = "How long, for each stretch. Default: the experiment's own.")
+    private Integer seconds;
+
+    abstract Experiment run(Integer seconds) throws Exception;
 
     @Override public Integer call() throws Exception {
       quietly();
-      return done(Demo.run(seed, seconds, System.out));
+      return done(run(seconds));
     }
   }
 
-  @Command(name = "flood", mixinStandardHelpOptions = true, description = "More GETs than a gateway can bear.")
-  static final class FloodCommand extends Common implements Callable<Integer> {
-    @Option(names = "--seconds", defaultValue = "4", description = "For each rate. Default: ${DEFAULT-VALUE}.")
-    private int seconds;
+  @Command(name = "demo", mixinStandardHelpOptions = true, description = "The main job, seen.")
+  static final class DemoCommand extends SocketsCommand {
+    @Override Experiment run(Integer seconds) throws Exception {
+      return Demo.run(seed, seconds == null ? DEMO_S : seconds, System.out);
+    }
+  }
 
-    @Override public Integer call() throws Exception {
-      quietly();
-      return done(Flood.run(seed, seconds, System.out));
+  @Command(name = "flood", mixinStandardHelpOptions = true, description = "More GETs than a gateway can bear.")
+  static final class FloodCommand extends SocketsCommand {
+    @Override Experiment run(Integer seconds) throws Exception {
+      return Flood.run(seed, seconds == null ? FLOOD_S : seconds, System.out);
     }
   }
 
   @Command(name = "registry", mixinStandardHelpOptions = true,
       description = "A gateway on sockets while its registry changes and breaks off at random.")
-  static final class RegistryDayCommand extends Common implements Callable<Integer> {
-    @Option(names = "--seconds", defaultValue = "16", description = "How long. Default: ${DEFAULT-VALUE}.")
-    private int seconds;
-
+  static final class RegistryDayCommand extends SocketsCommand {
     @Option(names = "--form", defaultValue = "etcd", description = "etcd or consul. Default: ${DEFAULT-VALUE}.")
     private String form;
 
-    @Override public Integer call() throws Exception {
-      quietly();
-      return done(RegistryDay.run(seed, seconds, RegistryAccess.Form.valueOf(form.toUpperCase(Locale.ROOT))));
+    @Override Experiment run(Integer seconds) throws Exception {
+      return RegistryDay.run(seed, seconds == null ? REGISTRY_S : seconds,
+          RegistryAccess.Form.valueOf(form.toUpperCase(Locale.ROOT)));
     }
   }
 
--- a/core/src/main/java/amberpath/Pace.java
+++ b/core/src/main/java/amberpath/Pace.java
@@ -3,9 +3,9 @@
 import java.util.SplittableRandom;
 
 /**
- * How many GETs a gateway that is out of CPU takes a turn: what it takes it can answer, the rest is shed as soon as it is
- * told from anything else, before it is read and decided in full. Told when a turn of the loop begins and how late that
- * is; times are nanoseconds.
+ * How many GETs a gateway that is out of CPU takes a turn: what it takes it can answer, the rest is shed as soon as it
+ * is told from anything else, before it is read and decided in full. Told when a turn of the loop begins and how late
+ * that is; times are nanoseconds.
  *
  * <p>One late turn is a pause (a collection, CPU that went elsewhere) and sheds nothing: only turns that are late one
  * after the other are a load that can't be borne. Then the GETs of a turn are halved while turns are late and grow by
--- a/gateway/src/main/java/amberpath/gateway/Route.java
+++ b/gateway/src/main/java/amberpath/gateway/Route.java
@@ -12,8 +12,9 @@
 import java.util.logging.Logger;
 
 /**
- * Third stage: what a turn of the loop brought is one round of the decisions, carried out at once. While news of caches
- * and purges may be too old to decide by, rounds wait, for no longer than {@link NewsAge} says; news goes first in each.
+ * Third stage: what a turn of the loop brought is one round of the decisions, carried out at once. While news of
+ * caches and purges may be too old to decide by, rounds wait, for no longer than {@link NewsAge} says; news goes first
+ * in each.
  */
 final class Route implements Decisions, Arrivals {
   private static final Logger LOG = Logger.getLogger(Route.class.getName());
