The fleet's view: its pure half, with shares that no partition enlarges, and its model

Need: every bound that gateways share is divided by a number told at the start. Before that number can follow the fleet, a gateway has to know who is there, how far its knowledge goes, and that a partition makes nobody's part larger.

Change: module fleet, amberpath.fleet (pure): SWIM's probes and suspicion with Lifeguard's doubt, incarnations over births that a process draws, lists both ways, tries of lost ones, leave and forget. The count falls by word alone; beyond the told number a gateway has a part once all that it counts have said that they count the same names. lab fleet-model plays joins, kills, leaves, standstills, partitions and one-way links on the virtual clock. docs/design/fleet-view.md has the ways weighed and the proof; not built yet: datagrams, the live half, the rig of real processes, prices at size. Nothing runs in serve.

--- a/app/src/main/java/amberpath/cli/LabCommand.java
+++ b/app/src/main/java/amberpath/cli/LabCommand.java
@@ -4,6 +4,7 @@
 import amberpath.lab.Experiment;
 import amberpath.lab.Flood;
 import amberpath.lab.Runs;
+import amberpath.lab.fleet.FleetModel;
 import amberpath.lab.plan.PlannersModel;
 import amberpath.lab.registry.RegistryDay;
 import amberpath.lab.registry.RegistryModel;
@@ -27,7 +28,7 @@
 @Command(name = "lab", mixinStandardHelpOptions = true, description = "Tries a gateway among stand-ins.",
     synopsisSubcommandLabel = "EXPERIMENT", subcommands = {LabCommand.DemoCommand.class, LabCommand.FloodCommand.class,
         LabCommand.RegistryDayCommand.class, LabCommand.RegistryModelCommand.class,
-        LabCommand.PlannersModelCommand.class, LabCommand.Size.class,
+        LabCommand.FleetModelCommand.class, LabCommand.PlannersModelCommand.class, LabCommand.Size.class,
         LabCommand.StandIn.class})
 final class LabCommand {
   /** Held here, since the runtime forgets a logger's level with the logger. */
@@ -61,6 +62,7 @@
         flood           three times the GETs that a gateway bears; what it answers, and how late its loop is
         registry        a gateway on sockets while its registry changes, compacts, lags and breaks off
         registry-model  the registry's pure half on a virtual clock, faults in any order
+        fleet-model     gateways' views of their fleet on a virtual clock: joins, crashes, partitions
         planners-model  terms, grants and shares of planners and forwarders on a virtual clock
         registry-size   many caches, changes and watching clients on the virtual clock; a herd after an outage
         standin         a stand-in to try things against: registry""");
@@ -136,6 +138,14 @@
     }
   }
 
+  @Command(name = "fleet-model", mixinStandardHelpOptions = true,
+      description = "The pure half of the fleet's view on a virtual clock, faults in any order.")
+  static final class FleetModelCommand extends ModelCommand {
+    @Override Runs.Model model() {
+      return FleetModel.MODEL;
+    }
+  }
+
   @Command(name = "planners-model", mixinStandardHelpOptions = true,
       description = "Terms, grants and shares of planners and forwarders on a virtual clock.")
   static final class PlannersModelCommand extends ModelCommand {
--- /dev/null
+++ b/fleet/src/main/java/amberpath/fleet/FleetRules.java
@@ -0,0 +1,24 @@
+package amberpath.fleet;
+
+/**
+ * What the operators may set of a fleet's view. Times are nanoseconds.
+ *
+ * @param told the most gateways that may run at once: up to so many, bounds are divided by it whatever is seen
+ * @param period between two probes of one gateway
+ * @param answer how long the answer to a probe may take, before others are asked to try
+ * @param rumours how many fit into one datagram
+ */
+public record FleetRules(int told, long period, long answer, int rumours) {
+  private static final long MS = 1_000_000;
+
+  public FleetRules {
+    if (told < 1 || period < 10 * MS || answer < MS || 3 * answer > period || rumours < 4) {
+      throw new IllegalArgumentException("told at least 1, a period of three answers and 10 ms at least, 4 rumours");
+    }
+  }
+
+  /** A probe each half second. */
+  public static FleetRules usual(int told) {
+    return new FleetRules(told, 500 * MS, 150 * MS, 12);
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/amberpath/fleet/FleetView.java
@@ -0,0 +1,570 @@
+package amberpath.fleet;
+
+import amberpath.fleet.Message.Kind;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+
+/**
+ * One gateway's view of its fleet: told datagrams and the time, it answers with datagrams and with news of who is
+ * there. Probes, indirect probes, suspicion, incarnations and rumours that ride on probes are those of SWIM (Das,
+ * Gupta, Motivala 2002); from Lifeguard (Dadgar, Phillips, Currey 2017) come a gateway's doubt in itself, suspicions
+ * that shorten as others confirm them, and that a suspect is told first. Lists both ways mend what rumours missed.
+ *
+ * <p>{@link #share} is what shared bounds are multiplied by; docs/design/fleet-view.md has the proof that the shares of
+ * all running gateways never sum to more than one.
+ *
+ * <p>Bounds: {@value #MOST} gateways; a rumour a gateway; one own probe and {@value #MOST_HELP} for others at a time;
+ * answers a period by their number. Times are nanoseconds of this gateway's own clock.
+ */
+public final class FleetView {
+  /** The view as a whole. */
+  public enum Phase { JOINING, ALONE, SETTLING, SETTLED, CUT_OFF, LEAVING }
+
+  /** Where datagrams and news go. */
+  public interface Out {
+    void send(String address, Message message);
+
+    /** A gateway's standing has changed. */
+    void news(String name, Standing standing);
+
+    void phase(Phase from, Phase to);
+
+    /** Another process goes by this gateway's name: told once for each such process. */
+    void twin(String address);
+  }
+
+  private static final int MOST = 2000, MOST_HELP = 64, HELPERS = 3, MOST_DOUBT = 6, CONFIRMED = 3;
+  /** Probes go so often as a rumour is sent: times the doublings of the fleet's size. */
+  private static final int SPREAD = 3;
+  /** In periods: a suspicion's least and greatest length, for ten gateways. */
+  private static final int LEAST = 4, GREATEST = 12;
+  private static final int STOOD = 3, ALONE_AFTER = 8, QUIET = 4, SYNC_EVERY = 8, TRY_LOST = 3, MOST_ANSWERS = 40;
+  private static final int REMEMBERED = 240;
+  private static final int MOST_TWINS = 16, SEEDS_ONE_IN = 4;
+
+  private final FleetRules rules;
+  private final List<String> seeds;
+  private final SplittableRandom chance;
+  private final Out out;
+  private final NavigableMap<String, Peer> peers = new TreeMap<>();
+  /** What is still to be sent, by name, with how often it was. */
+  private final Map<String, Integer> spreading = new LinkedHashMap<>();
+  private final List<Peer> order = new ArrayList<>();
+  /** Probes on behalf of others: own number to who asked, under which number, and until when. */
+  private final Map<Long, Help> helping = new LinkedHashMap<>();
+  private final Set<Long> twins = new HashSet<>();
+  private Rumour self;
+  private Probe probe;
+  private Phase phase = Phase.JOINING;
+  private long now, startedAt, tickedAt, probeDue, syncDue, tryDue, changedAt, number, refutedAt = Long.MIN_VALUE;
+  private long answersSince;
+  private int doubt, at, answers;
+  private boolean synced, admitted;
+
+  private static final class Peer {
+    Rumour said;
+    long until, changedAt, names;
+    final Set<String> accusers = new HashSet<>();
+
+    Peer(Rumour said) {
+      this.said = said;
+    }
+
+    boolean isThere() {
+      return said.standing() == Standing.ALIVE || said.standing() == Standing.SUSPECTED;
+    }
+  }
+
+  private static final class Probe {
+    final Peer of;
+    final long number, sentAt;
+    boolean asked;
+    int owing;
+
+    Probe(Peer of, long number, long sentAt) {
+      this.of = of;
+      this.number = number;
+      this.sentAt = sentAt;
+    }
+  }
+
+  private record Help(String address, long number, long until) {
+  }
+
+  /**
+   * A view that knows of nobody.
+   *
+   * @param self this process: its incarnation is above that of its starts before, as far as its clock can tell
+   * @param seeds addresses of which any may answer; its own is passed over
+   */
+  public FleetView(FleetRules rules, Rumour self, List<String> seeds, long seed, long now, Out out) {
+    this.rules = rules;
+    this.self = self;
+    this.seeds = seeds.stream().filter(one -> !one.equals(self.address())).toList();
+    this.out = out;
+    chance = new SplittableRandom(seed);
+    this.now = now;
+    startedAt = now;
+    tickedAt = now;
+    changedAt = now;
+    answersSince = now;
+    probeDue = now + chance.nextLong(rules.period());
+    syncDue = now;
+    tryDue = now + TRY_LOST * rules.period();
+  }
+
+  public Phase phase() {
+    return phase;
+  }
+
+  /** All that are there as far as this gateway knows, itself among them. */
+  public List<String> there() {
+    List<String> names = new ArrayList<>(List.of(self.name()));
+    peers.values().stream().filter(Peer::isThere).forEach(one -> names.add(one.said.name()));
+    names.sort(Comparator.naturalOrder());
+    return names;
+  }
+
+  /** What is held of another gateway; null if it was never heard of. */
+  public Standing standing(String name) {
+    Peer peer = peers.get(name);
+    return name.equals(self.name()) ? Standing.ALIVE : peer == null ? null : peer.said.standing();
+  }
+
+  /** By how many shared bounds are divided: rises when a name is heard of, falls when one left, never by a loss. */
+  public int counted() {
+    return Math.max(rules.told(), names());
+  }
+
+  private int names() {
+    return 1 + (int) peers.values().stream().filter(one -> one.said.standing() != Standing.LEFT).count();
+  }
+
+  /** This gateway's part of what all share, 0 to 1. A gateway beyond the told number has none until all count it. */
+  public double share() {
+    boolean few = names() <= rules.told() && (synced || phase == Phase.ALONE);
+    return phase != Phase.LEAVING && (admitted || few) ? 1.0 / counted() : 0;
+  }
+
+  private long digest() {
+    long sum = mix(self.name());
+    for (Peer peer : peers.values()) {
+      sum += peer.said.standing() == Standing.LEFT ? 0 : mix(peer.said.name());
+    }
+    return sum;
+  }
+
+  private static long mix(String name) {
+    long value = 0x9e3779b97f4a7c15L;
+    for (int i = 0; i < name.length(); i++) {
+      value = (value ^ name.charAt(i)) * 0xbf58476d1ce4e5b9L;
+      value ^= value >>> 29;
+    }
+    return value;
+  }
+
+  // ---- What comes.
+
+  /** Another's datagram, checked and decoded. */
+  public void received(long time, Message message) {
+    now = time;
+    Rumour from = message.from();
+    if (phase == Phase.LEAVING || from.name().equals(self.name())) {
+      twin(from);
+      return;
+    }
+    if (now - answersSince > rules.period()) {
+      answersSince = now;
+      answers = 0;
+    }
+    take(from);
+    message.rumours().forEach(this::take);
+    Peer peer = peers.get(from.name());
+    if (peer == null) {
+      return;
+    }
+    peer.names = message.names();
+    // Guards against floods: what is answered in one period is bounded, whoever asks.
+    boolean answers = message.kind() == Kind.ACK || message.kind() == Kind.NACK || message.kind() == Kind.PAGE
+        || ++this.answers <= MOST_ANSWERS;
+    if (answers) {
+      switch (message.kind()) {
+        case PING -> send(from, Kind.ACK, message.number(), null, false, rumoursFor(peer));
+        case ASK -> help(peer, message);
+        case ACK -> acked(message.number());
+        case NACK -> {
+          if (probe != null && probe.number == message.number()) {
+            probe.owing = Math.max(0, probe.owing - 1);
+          }
+        }
+        case SYNC -> page(from, Kind.PAGE, message.number(), message.about());
+        case PAGE -> synced(from, message);
+        default -> { }
+      }
+    }
+    admit();
+  }
+
+  /** Guards against two processes that push one another out for ever: both are told, neither refutes at speed. */
+  private void twin(Rumour from) {
+    if (phase != Phase.LEAVING && from.birth() != self.birth() && twins.size() < MOST_TWINS
+        && twins.add(from.birth())) {
+      out.twin(from.address());
+    }
+  }
+
+  private void acked(long of) {
+    if (probe != null && probe.number == of) {
+      probe = null;
+      doubt = Math.max(0, doubt - 1);
+    }
+    Help help = helping.remove(of);
+    if (help != null) {
+      send(help.address, Kind.ACK, help.number, null, false, List.of());
+    }
+  }
+
+  private void help(Peer asker, Message ask) {
+    Peer of = peers.get(ask.about());
+    if (of != null && helping.size() < MOST_HELP) {
+      long own = ++number;
+      helping.put(own, new Help(asker.said.address(), ask.number(), now + rules.answer()));
+      send(of.said, Kind.PING, own, null, false, rumoursFor(of));
+    }
+  }
+
+  /** A saying is believed if it beats what is held; one against this gateway itself is refuted. */
+  private void take(Rumour rumour) {
+    if (rumour.name().equals(self.name())) {
+      if (rumour.birth() != self.birth()) {
+        outlive(rumour);
+      } else if (rumour.standing() != Standing.ALIVE && rumour.incarnation() >= self.incarnation()) {
+        doubt = Math.min(MOST_DOUBT, doubt + 1);
+        refute(rumour.incarnation() + 1);
+      }
+      return;
+    }
+    Peer held = peers.get(rumour.name());
+    if (held == null) {
+      if (peers.size() < MOST) {
+        held = new Peer(rumour);
+        peers.put(rumour.name(), held);
+        order.add(chance.nextInt(order.size() + 1), held);
+        changed(held, null);
+      }
+    } else if (rumour.beats(held.said)) {
+      Standing before = held.said.standing();
+      held.said = rumour;
+      held.accusers.clear();
+      changed(held, before);
+    } else if (rumour.standing() == Standing.SUSPECTED && held.said.standing() == Standing.SUSPECTED
+        && rumour.incarnation() == held.said.incarnation() && held.accusers.size() < CONFIRMED
+        && held.accusers.add(rumour.by())) {
+      // Guards against late word of a crash: each further accuser shortens the suspicion.
+      long began = held.until - suspicion(held.accusers.size() - 1);
+      held.until = began + suspicion(held.accusers.size());
+      spreading.put(rumour.name(), 0);
+    }
+  }
+
+  /** What is remembered of a start before this one, or of a twin: this start is above it. */
+  private void outlive(Rumour other) {
+    boolean above = other.incarnation() > self.incarnation()
+        || other.incarnation() == self.incarnation() && other.standing() != Standing.ALIVE;
+    if (above && (refutedAt == Long.MIN_VALUE || now - refutedAt > rules.period() * STOOD || twins.isEmpty())) {
+      refute(other.incarnation() + 1);
+    }
+  }
+
+  private void refute(long incarnation) {
+    refutedAt = now;
+    self = new Rumour(self.name(), self.address(), incarnation, self.birth(), Standing.ALIVE, self.name());
+    spreading.put(self.name(), 0);
+  }
+
+  private void changed(Peer peer, Standing before) {
+    Standing after = peer.said.standing();
+    if (after == Standing.SUSPECTED) {
+      peer.accusers.add(peer.said.by());
+      peer.until = now + suspicion(peer.accusers.size());
+    }
+    spreading.put(peer.said.name(), 0);
+    if (before != after) {
+      peer.changedAt = now;
+      changedAt = now;
+      out.news(peer.said.name(), after);
+    }
+  }
+
+  private double size() {
+    return Math.max(1, Math.log10(Math.max(1, names())));
+  }
+
+  /** How long a suspicion lasts that so many accusers share. */
+  private long suspicion(int accusers) {
+    double part = Math.log(Math.max(1, accusers)) / Math.log(CONFIRMED);
+    return (long) ((GREATEST - (GREATEST - LEAST) * Math.min(1, part)) * rules.period() * size());
+  }
+
+  // ---- What goes.
+
+  private void send(Rumour to, Kind kind, long number, String about, boolean more, List<Rumour> rumours) {
+    send(to.address(), kind, number, about, more, rumours);
+  }
+
+  private void send(String to, Kind kind, long number, String about, boolean more, List<Rumour> rumours) {
+    out.send(to, new Message(kind, self, number, digest(), about, more, synced, rumours));
+  }
+
+  /** What rides on a datagram: first what is said of the one that it goes to, then what was sent least. */
+  private List<Rumour> rumoursFor(Peer to) {
+    List<Rumour> some = new ArrayList<>();
+    if (to != null && to.said.standing() != Standing.ALIVE) {
+      some.add(to.said);
+    }
+    int often = SPREAD * (32 - Integer.numberOfLeadingZeros(names()));
+    List<Map.Entry<String, Integer>> least = new ArrayList<>(spreading.entrySet());
+    least.sort(Map.Entry.comparingByValue());
+    for (Map.Entry<String, Integer> entry : least) {
+      if (some.size() == rules.rumours()) {
+        break;
+      }
+      Peer about = peers.get(entry.getKey());
+      if (about == null && !entry.getKey().equals(self.name()) || entry.getValue() >= often) {
+        spreading.remove(entry.getKey());
+      } else if (about == null || about != to) {
+        some.add(about == null ? self : about.said);
+        spreading.put(entry.getKey(), entry.getValue() + 1);
+      }
+    }
+    return some;
+  }
+
+  /** A stretch of all that is known, by name: lists both ways mend what rumours missed. */
+  private void page(Rumour to, Kind kind, long number, String after) {
+    List<Rumour> some = new ArrayList<>();
+    boolean more = false;
+    for (Peer peer : peers.tailMap(after == null ? "" : after, false).values()) {
+      more = some.size() == rules.rumours();
+      if (more) {
+        break;
+      }
+      some.add(peer.said);
+    }
+    send(to, kind, number, after, more, some);
+  }
+
+  private void synced(Rumour from, Message page) {
+    if (page.more()) {
+      String last = page.rumours().get(page.rumours().size() - 1).name();
+      if (page.about() == null || last.compareTo(page.about()) > 0) { // Guards against a list that goes in circles.
+        page(from, Kind.SYNC, page.number(), last);
+      }
+    } else if (page.whole() || now - startedAt > ALONE_AFTER * rules.period()) {
+      synced = true; // Guards against a whole list from one that has just started itself, unless all have.
+    }
+  }
+
+  /** Admitted for good once every gateway that counts has said that it counts the same names. */
+  private void admit() {
+    if (!admitted && synced) {
+      long own = digest();
+      admitted = names() > 1 && peers.values().stream()
+          .allMatch(one -> one.said.standing() == Standing.LEFT || one.names == own);
+    }
+  }
+
+  // ---- What time brings.
+
+  /** To be called several times a period. */
+  public void tick(long time) {
+    long passed = time - tickedAt;
+    now = time;
+    tickedAt = time;
+    if (phase == Phase.LEAVING) {
+      return;
+    }
+    if (passed > STOOD * rules.period()) {
+      stood(passed);
+    }
+    long patience = rules.answer() * (1 + doubt);
+    judge(patience);
+    helping.entrySet().removeIf(entry -> {
+      boolean over = now > entry.getValue().until;
+      if (over) { // Says that the helper is well, and that it is not the asker's link that fails.
+        send(entry.getValue().address, Kind.NACK, entry.getValue().number, null, false, List.of());
+      }
+      return over;
+    });
+    for (Peer peer : peers.values()) {
+      if (peer.said.standing() == Standing.SUSPECTED && now >= peer.until) {
+        say(peer, Standing.LOST);
+      }
+    }
+    forgetLeft();
+    if (probe == null && now >= probeDue) {
+      probeNext();
+    }
+    if (now >= syncDue) {
+      sync();
+    }
+    if (now >= tryDue) {
+      tryDue = now + TRY_LOST * rules.period() / 2 + chance.nextLong(TRY_LOST * rules.period());
+      Peer lost = any(one -> one.said.standing() == Standing.LOST);
+      if (lost != null) {
+        page(lost.said, Kind.SYNC, ++number, null);
+        send(lost.said, Kind.PING, ++number, null, false, rumoursFor(lost));
+      }
+    }
+    settle();
+  }
+
+  /** Guards memory against names that come and go for ever: one that left is remembered until all have heard of it. */
+  private void forgetLeft() {
+    if (peers.values().removeIf(one -> one.said.standing() == Standing.LEFT
+        && now - one.changedAt > REMEMBERED * rules.period())) {
+      order.removeIf(one -> peers.get(one.said.name()) != one);
+      at = Math.min(at, order.size());
+    }
+  }
+
+  /** Guards the fleet against one that slept: what it did not hear proves nothing, and its own view is old. */
+  private void stood(long passed) {
+    probe = null;
+    helping.clear();
+    synced = false;
+    syncDue = now;
+    changedAt = now;
+    doubt = MOST_DOUBT;
+    peers.values().forEach(one -> one.until += passed);
+  }
+
+  private void judge(long patience) {
+    if (probe == null) {
+      return;
+    }
+    if (!probe.of.isThere()) {
+      probe = null;
+    } else if (!probe.asked && now - probe.sentAt >= patience) {
+      probe.asked = true;
+      Peer of = probe.of;
+      for (int one = 0; one < HELPERS; one++) {
+        Peer helper = any(each -> each != of && each.said.standing() == Standing.ALIVE);
+        if (helper != null) {
+          probe.owing++;
+          send(helper.said, Kind.ASK, probe.number, of.said.name(), false, List.of());
+        }
+      }
+    } else if (probe.asked && now - probe.sentAt >= 3 * patience) {
+      Peer of = probe.of;
+      // Nobody that was asked says a word: it may be this gateway that hears nothing.
+      doubt = probe.owing > 0 ? Math.min(MOST_DOUBT, doubt + 1) : doubt;
+      probe = null;
+      if (of.said.standing() == Standing.ALIVE) {
+        say(of, Standing.SUSPECTED);
+      } else if (of.said.standing() == Standing.SUSPECTED) {
+        take(new Rumour(of.said.name(), of.said.address(), of.said.incarnation(), of.said.birth(),
+            Standing.SUSPECTED, self.name()));
+      }
+    }
+  }
+
+  private void say(Peer of, Standing standing) {
+    take(new Rumour(of.said.name(), of.said.address(), of.said.incarnation(), of.said.birth(), standing,
+        self.name()));
+  }
+
+  /** Each in turn, in an order by chance that is drawn anew after each round: bounds the time to hear of a crash. */
+  private void probeNext() {
+    probeDue = now + rules.period();
+    for (int tried = 0; tried < order.size(); tried++) {
+      if (at >= order.size()) {
+        at = 0;
+        for (int one = order.size() - 1; one > 0; one--) {
+          int other = chance.nextInt(one + 1);
+          Peer moved = order.get(one);
+          order.set(one, order.get(other));
+          order.set(other, moved);
+        }
+      }
+      Peer next = order.get(at++);
+      if (next.isThere()) {
+        probe = new Probe(next, ++number, now);
+        send(next.said, Kind.PING, probe.number, null, false, rumoursFor(next));
+        return;
+      }
+    }
+  }
+
+  private void sync() {
+    long every = synced ? SYNC_EVERY * rules.period() : rules.period();
+    syncDue = now + every / 2 + chance.nextLong(every);
+    Peer with = any(Peer::isThere);
+    if (with != null && (seeds.isEmpty() || chance.nextInt(SEEDS_ONE_IN) > 0)) {
+      page(with.said, Kind.SYNC, ++number, null);
+    } else if (!seeds.isEmpty()) { // Guards against two islands that never heard of each other.
+      page(new Rumour("", seeds.get(chance.nextInt(seeds.size())), 0, 0, Standing.ALIVE, ""), Kind.SYNC, ++number,
+          null);
+    }
+  }
+
+  private Peer any(Predicate<Peer> which) {
+    List<Peer> some = peers.values().stream().filter(which).toList();
+    return some.isEmpty() ? null : some.get(chance.nextInt(some.size()));
+  }
+
+  private void settle() {
+    long known = names();
+    long there = 1 + peers.values().stream().filter(Peer::isThere).count();
+    boolean suspects = peers.values().stream().anyMatch(one -> one.said.standing() == Standing.SUSPECTED);
+    if (there == 1 && known == 1) {
+      boolean waited = phase == Phase.ALONE || now - startedAt > ALONE_AFTER * rules.period();
+      enter(waited ? Phase.ALONE : Phase.JOINING);
+    } else if (2 * there <= known) {
+      enter(Phase.CUT_OFF);
+    } else {
+      enter(synced && !suspects && now - changedAt > QUIET * rules.period() ? Phase.SETTLED : Phase.SETTLING);
+    }
+  }
+
+  private void enter(Phase next) {
+    if (next != phase) {
+      Phase before = phase;
+      phase = next;
+      out.phase(before, next);
+    }
+  }
+
+  // ---- What operators say.
+
+  /** Orderly: from now on this gateway has no share, and some hear that it leaves; the others hear it from them. */
+  public void leave(long time) {
+    now = time;
+    enter(Phase.LEAVING);
+    self = new Rumour(self.name(), self.address(), self.incarnation(), self.birth(), Standing.LEFT, self.name());
+    List<Peer> some = new ArrayList<>(peers.values().stream().filter(Peer::isThere).toList());
+    for (int one = 0; one < 2 * HELPERS && !some.isEmpty(); one++) {
+      send(some.remove(chance.nextInt(some.size())).said, Kind.NACK, 0, null, false, List.of());
+    }
+  }
+
+  /** Word that a lost gateway is not coming back: only so does its part fall to the others. */
+  public boolean forget(long time, String name) {
+    now = time;
+    Peer peer = peers.get(name);
+    boolean lost = peer != null && peer.said.standing() == Standing.LOST;
+    if (lost) {
+      say(peer, Standing.LEFT);
+    }
+    return lost;
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/amberpath/fleet/Rumour.java
@@ -0,0 +1,17 @@
+package amberpath.fleet;
+
+/**
+ * What one gateway says of another, or of itself.
+ *
+ * @param name the gateway's name, the same after a restart
+ * @param address where its datagrams go
+ * @param incarnation rises with each start and each refutation
+ * @param birth by chance, one to a process: tells two processes under one name apart
+ * @param by who says so first: counts accusers of a suspected gateway apart
+ */
+public record Rumour(String name, String address, long incarnation, long birth, Standing standing, String by) {
+  boolean beats(Rumour other) {
+    return incarnation > other.incarnation
+        || incarnation == other.incarnation && standing.compareTo(other.standing) > 0;
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/amberpath/fleet/Standing.java
@@ -0,0 +1,6 @@
+package amberpath.fleet;
+
+/** What is said of a gateway. Of two sayings under one incarnation, the later in this order holds. */
+public enum Standing {
+  ALIVE, SUSPECTED, LOST, LEFT
+}
--- /dev/null
+++ b/fleet/src/test/java/amberpath/fleet/FleetViewTest.java
@@ -0,0 +1,183 @@
+package amberpath.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import amberpath.fleet.Message.Kind;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Stories of one gateway's view, told datagrams by hand. */
+class FleetViewTest implements FleetView.Out {
+  private static final long MS = 1_000_000, PERIOD = 500 * MS;
+
+  private record Sent(String to, Message message) {
+  }
+
+  private final List<Sent> sent = new ArrayList<>();
+  private final List<String> news = new ArrayList<>();
+  private final List<String> twins = new ArrayList<>();
+  private long now;
+  private FleetView view = view(2);
+
+  private FleetView view(int told) {
+    return new FleetView(FleetRules.usual(told), saying("me", 5, Standing.ALIVE), List.of("at-me", "at-seed"), 7, now,
+        this);
+  }
+
+  private static Rumour saying(String name, long incarnation, Standing standing) {
+    return new Rumour(name, "at-" + name, incarnation, name.hashCode(), standing, name);
+  }
+
+  private void comes(Kind kind, String from, long number, boolean whole, Rumour... rumours) {
+    view.received(now, new Message(kind, saying(from, 1, Standing.ALIVE), number, 0, null, false, whole,
+        List.of(rumours)));
+  }
+
+  private void pass(long time) {
+    for (long until = now + time; now < until;) {
+      now += 100 * MS;
+      view.tick(now);
+    }
+  }
+
+  private Message last(Kind kind) {
+    return sent.stream().map(Sent::message).filter(one -> one.kind() == kind).reduce((a, b) -> b).orElse(null);
+  }
+
+  @Test
+  void aSeedThatIsItselfIsNotAsked() {
+    pass(3 * PERIOD);
+    assertTrue(sent.stream().allMatch(one -> one.to().equals("at-seed")));
+    assertEquals(0, view.share());
+  }
+
+  @Test
+  void whoHearsNobodyServesAsBefore() {
+    pass(12 * PERIOD);
+    assertEquals(FleetView.Phase.ALONE, view.phase());
+    assertEquals(0.5, view.share());
+  }
+
+  @Test
+  void aListFromOneThatHasJustStartedIsNotWhole() {
+    comes(Kind.PAGE, "other", 1, false);
+    assertEquals(0, view.share());
+    comes(Kind.PAGE, "other", 1, true);
+    assertEquals(0.5, view.share());
+  }
+
+  @Test
+  void aSilentOneIsSuspectedByOthersToldAndLostAtLast() {
+    comes(Kind.PAGE, "other", 1, true);
+    comes(Kind.PAGE, "third", 1, true);
+    for (int time = 0; time < 200; time++) {
+      now += 50 * MS;
+      sent.clear();
+      view.tick(now);
+      for (Sent one : List.copyOf(sent)) {
+        if (one.to().equals("at-third")) {
+          comes(one.message().kind() == Kind.ASK ? Kind.NACK : Kind.ACK, "third", one.message().number(), true);
+        }
+      }
+    }
+    assertEquals(List.of("other ALIVE", "third ALIVE", "other SUSPECTED", "other LOST"), news);
+    assertEquals(FleetView.Phase.SETTLED, view.phase());
+    assertEquals(3, view.counted(), "a loss takes nobody's part");
+  }
+
+  @Test
+  void whatIsSaidAgainstItIsRefuted() {
+    comes(Kind.PING, "other", 1, true, saying("me", 5, Standing.SUSPECTED));
+    assertEquals(6, last(Kind.ACK).from().incarnation());
+    comes(Kind.PING, "other", 2, true, saying("me", 5, Standing.LOST));
+    assertEquals(6, last(Kind.ACK).from().incarnation(), "old news of it is passed over");
+  }
+
+  @Test
+  void aStartAnewIsAboveWhatTheFleetRemembersOfItAndNoTwin() {
+    comes(Kind.PING, "other", 1, true, new Rumour("me", "at-me", 40, 99, Standing.LOST, "other"));
+    assertEquals(41, last(Kind.ACK).from().incarnation());
+    assertTrue(twins.isEmpty());
+  }
+
+  @Test
+  void aTwinIsToldOnceAndDrivesUpNoIncarnation() {
+    for (int time = 0; time < 50; time++) {
+      now += MS;
+      Rumour twin = new Rumour("me", "at-twin", 100 + time, 99, Standing.ALIVE, "me");
+      view.received(now, new Message(Kind.PING, twin, 1, 0, null, false, true, List.of()));
+      comes(Kind.PING, "other", 1, true, twin);
+    }
+    assertEquals(List.of("at-twin"), twins);
+    assertTrue(last(Kind.ACK).from().incarnation() <= 102, "" + last(Kind.ACK).from().incarnation());
+  }
+
+  @Test
+  void theCountFallsByWordAloneAndNeverByLoss() {
+    comes(Kind.PAGE, "other", 1, true, saying("third", 1, Standing.LOST));
+    assertEquals(3, view.counted());
+    assertEquals(0, view.share(), "beyond the told number, and not counted by all yet");
+    assertTrue(view.forget(now, "third"));
+    assertEquals(2, view.counted());
+    assertFalse(view.forget(now, "other"), "it is there");
+    comes(Kind.PING, "other", 1, true, saying("other", 1, Standing.LEFT));
+    assertEquals(2, view.counted(), "never under the told number");
+  }
+
+  @Test
+  void whoStoodStillAccusesNobodyAndKnowsThatItsViewIsOld() {
+    comes(Kind.PAGE, "other", 1, true);
+    pass(2 * PERIOD);
+    news.clear();
+    now += 20 * PERIOD;
+    view.tick(now);
+    assertTrue(news.isEmpty(), news.toString());
+    assertEquals(FleetView.Phase.SETTLING, view.phase());
+  }
+
+  @Test
+  void whoLeavesHasNoShareAndAnswersNobody() {
+    comes(Kind.PAGE, "other", 1, true);
+    view.leave(now);
+    assertEquals(0, view.share());
+    assertEquals(Standing.LEFT, last(Kind.NACK).from().standing());
+    sent.clear();
+    comes(Kind.PING, "other", 1, true);
+    assertTrue(sent.isEmpty());
+  }
+
+  @Test
+  void aFloodIsAnsweredUpToABound() {
+    for (int one = 0; one < 1000; one++) {
+      comes(Kind.PING, "other", one, true);
+    }
+    assertEquals(40, sent.size());
+  }
+
+  @Test
+  void namesThatComeAndGoAreForgotten() {
+    comes(Kind.PAGE, "other", 1, true, saying("third", 1, Standing.LEFT));
+    assertEquals(Standing.LEFT, view.standing("third"));
+    pass(250 * PERIOD);
+    assertNull(view.standing("third"));
+  }
+
+  @Override public void send(String address, Message message) {
+    sent.add(new Sent(address, message));
+  }
+
+  @Override public void news(String name, Standing standing) {
+    news.add(name + " " + standing);
+  }
+
+  @Override public void phase(FleetView.Phase from, FleetView.Phase to) {
+  }
+
+  @Override public void twin(String address) {
+    twins.add(address);
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/amberpath/lab/fleet/FleetRun.java
@@ -0,0 +1,288 @@
+package amberpath.lab.fleet;
+
+import amberpath.fleet.FleetRules;
+import amberpath.fleet.FleetView;
+import amberpath.fleet.Message;
+import amberpath.fleet.Rumour;
+import amberpath.fleet.Standing;
+import amberpath.lab.Agenda;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+
+/**
+ * One run of the fleet's views on a virtual clock: datagrams lost, late and doubled, links cut one way and both,
+ * partitions, processes killed, stopped, ended, restarted with nothing. After each step the shares of all that run sum
+ * to one at most; once it has been calm for a while, each view holds those that run and nobody else.
+ */
+final class FleetRun {
+  private static final long MS = 1_000_000, SECOND = 1000 * MS, START = 1_700_000_000L * SECOND;
+  private static final long WARM = 15 * SECOND, BUSY = 40 * SECOND, CALM = 30 * SECOND, HEALED = 15 * SECOND;
+  private static final long TICK = 100 * MS;
+  private static final int LEAST = 3, MOST = 30, MOST_A_SECOND = 200, SEEDS = 3;
+  private static final double SLACK = 1e-9;
+
+  /** A bar that was missed. */
+  static final class Missed extends RuntimeException {
+    Missed(String what) {
+      super(what);
+    }
+  }
+
+  /** One gateway's place: the process that runs there, if one does. */
+  private final class Place implements FleetView.Out {
+    final int index;
+    final String name, address;
+    FleetView view;
+    /** Which process of this place: datagrams and ticks of an older one go nowhere. */
+    int process;
+    long incarnation, frozenUntil, second, sent;
+    boolean left;
+
+    Place(int index) {
+      this.index = index;
+      name = "g" + index;
+      address = "a" + index;
+    }
+
+    void start() {
+      process++;
+      left = false;
+      // Its clock is all that a process remembers of the starts before it, and the clock may have gone back.
+      incarnation = Math.max(1, (agenda.now() - START) / SECOND + chance.nextInt(-5, 5));
+      view = new FleetView(rules, new Rumour(name, address, incarnation, chance.nextLong(), Standing.ALIVE, name),
+          List.of("a0", "a1", "a2"), chance.nextLong(), agenda.now(), this);
+      int mine = process;
+      agenda.at(agenda.now() + chance.nextLong(TICK), () -> tick(mine));
+    }
+
+    private void tick(int of) {
+      if (of == process && view != null) {
+        if (frozenUntil <= agenda.now()) {
+          view.tick(agenda.now());
+        }
+        agenda.at(Math.max(agenda.now() + TICK, frozenUntil), () -> tick(of));
+      }
+    }
+
+    @Override public void send(String to, Message message) {
+      long now = agenda.now() / SECOND;
+      sent = now == second ? sent + 1 : 1;
+      second = now;
+      datagrams++;
+      most = Math.max(most, sent);
+      if (sent > MOST_A_SECOND) {
+        throw new Missed(name + " sent " + sent + " datagrams in a second");
+      }
+      if (message.rumours().size() > rules.rumours()) {
+        throw new Missed(name + " sent " + message.rumours().size() + " rumours at once");
+      }
+      Place target = places.get(Integer.parseInt(to.substring(1)));
+      if (cut[index][target.index] || chance.nextDouble() < loss) {
+        return;
+      }
+      int copies = chance.nextDouble() < doubled ? 2 : 1;
+      for (int copy = 0; copy < copies; copy++) {
+        int process = target.process;
+        agenda.at(agenda.now() + MS / 5 + chance.nextLong(delay), () -> target.come(process, message));
+      }
+    }
+
+    private void come(int of, Message message) {
+      if (of != process || view == null) {
+        return;
+      }
+      if (frozenUntil > agenda.now()) { // It waits in the socket.
+        agenda.at(frozenUntil, () -> come(of, message));
+      } else {
+        view.received(agenda.now(), message);
+      }
+    }
+
+    @Override public void news(String who, Standing standing) {
+      story.accept(name + ": " + who + " " + standing);
+      falseLosses += standing == Standing.LOST && runs(who) ? 1 : 0;
+      if (calmSince > 0 && agenda.now() - calmSince > HEALED && standing == Standing.LOST && runs(who)) {
+        throw new Missed(name + " holds " + who + " for lost, which runs and can be reached");
+      }
+    }
+
+    private boolean runs(String who) {
+      Place one = places.get(Integer.parseInt(who.substring(1)));
+      return one.view != null && !one.left;
+    }
+
+    @Override public void phase(FleetView.Phase from, FleetView.Phase to) {
+      story.accept(name + ": " + from + " -> " + to);
+    }
+
+    @Override public void twin(String at) {
+      throw new Missed(name + " was told of a twin at " + at);
+    }
+  }
+
+  private final SplittableRandom chance;
+  private final Agenda agenda = new Agenda(START);
+  private final Consumer<String> story;
+  private final List<Place> places = new ArrayList<>();
+  private final boolean[][] cut;
+  private final FleetRules rules;
+  private final int first;
+  private double loss, doubled;
+  private boolean beyond;
+  private long delay = 2 * MS, calmSince, datagrams, most, falseLosses, faults, steps;
+
+  FleetRun(long seed, Consumer<String> story) {
+    chance = new SplittableRandom(seed);
+    this.story = line -> story.accept((agenda.now() - START) / MS + " ms: " + line);
+    int many = LEAST + chance.nextInt(MOST - LEAST + 1);
+    // In one run of three, more come than the operators told, once those before them have settled.
+    boolean grows = chance.nextInt(3) == 0;
+    first = grows ? Math.max(2, many - 1 - chance.nextInt(many / 2)) : many;
+    rules = FleetRules.usual(grows ? first : many + chance.nextInt(3));
+    cut = new boolean[many][many];
+    for (int index = 0; index < many; index++) {
+      places.add(new Place(index));
+    }
+  }
+
+  Map<String, Long> run() {
+    for (int index = 0; index < first; index++) {
+      Place one = places.get(index);
+      agenda.at(START + chance.nextLong(2 * SECOND), one::start);
+    }
+    agenda.at(START + WARM, this::fault);
+    long busyUntil = START + WARM + BUSY;
+    agenda.at(busyUntil, this::calm);
+    while (agenda.step(busyUntil + CALM)) {
+      steps++;
+      check();
+    }
+    for (Place one : places) {
+      if (one.view != null && !one.view.there().equals(running())) {
+        throw new Missed("calm, and " + one.name + " holds " + one.view.there() + " of " + running());
+      }
+      if (one.view != null && one.view.phase() != FleetView.Phase.SETTLED && running().size() * 2 > places.size()
+          && one.view.counted() < 2 * running().size()) {
+        throw new Missed("calm, and " + one.name + " is " + one.view.phase());
+      }
+    }
+    return Map.of("steps", steps, "datagrams", datagrams, "most_in_a_second", most, "losses_of_running", falseLosses,
+        "faults", faults);
+  }
+
+  private List<String> running() {
+    return places.stream().filter(one -> one.view != null && !one.left).map(one -> one.name).sorted().toList();
+  }
+
+  private void check() {
+    double sum = 0;
+    for (Place one : places) {
+      // One beyond the told number that has reached nobody serves as before: what is promised ends there.
+      sum += one.view == null || beyond && one.view.phase() == FleetView.Phase.ALONE ? 0 : one.view.share();
+    }
+    if (sum > 1 + SLACK) {
+      throw new Missed("shares sum to " + sum + ": " + places.stream().filter(one -> one.view != null)
+          .map(one -> one.name + " " + one.view.phase() + " of " + one.view.counted() + ": " + one.view.share())
+          .toList());
+    }
+  }
+
+  private void calm() {
+    calmSince = agenda.now();
+    loss = doubled = 0;
+    delay = 2 * MS;
+    for (boolean[] row : cut) {
+      java.util.Arrays.fill(row, false);
+    }
+    story.accept("calm");
+    if (places.stream().limit(SEEDS).allMatch(one -> one.view == null)) {
+      places.get(0).frozenUntil = 0;
+      places.get(0).start(); // Where all seeds are down, nobody can be found by them.
+    }
+  }
+
+  private void fault() {
+    if (calmSince > 0) {
+      return;
+    }
+    faults++;
+    beyond |= places.stream().skip(first).anyMatch(place -> place.process > 0);
+    Place one = places.get(chance.nextInt(places.size()));
+    boolean grown = one.index >= first && one.process == 0;
+    switch (chance.nextInt(9)) {
+      case 0, 1 -> {
+        if (one.view != null && running().size() > 1) {
+          story.accept(one.name + " is killed");
+          one.view = null;
+        }
+      }
+      case 2, 3 -> {
+        // Beyond the told number a start that remembers nothing must find those before it as one.
+        if (one.view == null && (first == places.size() || !beyond && !grown || grown && settled())) {
+          story.accept(one.name + " starts");
+          one.frozenUntil = 0;
+          one.start();
+        }
+      }
+      case 4 -> {
+        if (one.view != null && running().size() > 1) {
+          story.accept(one.name + " leaves");
+          one.left = true;
+          one.view.leave(agenda.now());
+          one.view = null;
+        }
+      }
+      case 5 -> {
+        one.frozenUntil = Math.min(agenda.now() + chance.nextLong(12 * SECOND), START + WARM + BUSY);
+        story.accept(one.name + " stands still");
+      }
+      case 6 -> {
+        if (!beyond) {
+          partition();
+        }
+      }
+      case 7 -> {
+        loss = chance.nextDouble() * 0.3;
+        doubled = chance.nextDouble() * 0.2;
+        delay = 1 + chance.nextLong(chance.nextBoolean() ? SECOND : 5 * MS);
+        story.accept("loss " + loss + ", delays up to " + delay / MS + " ms");
+      }
+      default -> {
+        int other = chance.nextInt(places.size());
+        cut[one.index][other] = true;
+        story.accept("from " + one.name + " to g" + other + " nothing comes through");
+        agenda.at(agenda.now() + chance.nextLong(10 * SECOND), () -> cut[one.index][other] = false);
+      }
+    }
+    // Two faults in one moment among them.
+    agenda.at(agenda.now() + (chance.nextInt(4) == 0 ? 0 : chance.nextLong(3 * SECOND)), this::fault);
+  }
+
+  /** Whether a gateway beyond the told number may come: those before it are one fleet. */
+  private boolean settled() {
+    return places.stream().allMatch(one -> one.view == null || one.view.phase() == FleetView.Phase.SETTLED);
+  }
+
+  private void partition() {
+    boolean[] side = new boolean[places.size()];
+    for (int one = 0; one < side.length; one++) {
+      side[one] = chance.nextBoolean();
+    }
+    story.accept("a partition");
+    split(side, true);
+    agenda.at(agenda.now() + chance.nextLong(15 * SECOND), () -> split(side, false));
+  }
+
+  private void split(boolean[] side, boolean apart) {
+    for (int from = 0; from < side.length; from++) {
+      for (int to = 0; to < side.length; to++) {
+        if (side[from] != side[to]) {
+          cut[from][to] = apart;
+        }
+      }
+    }
+  }
+}
