--- a/lab/src/main/java/amberpath/lab/fleet/FleetRun.java
+++ b/lab/src/main/java/amberpath/lab/fleet/FleetRun.java
@@ -240,7 +240,8 @@
         story.accept(one.name + " stands still");
       }
       case 6 -> {
-        if (!beyond) {
+        // Beyond the told number it is promised to those that were admitted before.
+        if (!beyond || places.stream().allMatch(place -> place.view == null || place.view.share() > 0)) {
           partition();
         }
       }
