--- a/review/standins/HalfRequests.java
+++ b/review/standins/HalfRequests.java
@@ -14,10 +14,12 @@
   static final int HOLD_MILLIS = Integer.getInteger("hold", 1500);
   static final int HALF_BYTES = Integer.getInteger("half", 120_000);
 
-  public static void main(String[] arguments) throws Exception {
+  public static void main(String[] arguments) {
     int exit = 2;
     try (Rig rig = new Rig(arguments[0])) {
       exit = run(rig);
+    } catch (Exception e) {
+      e.printStackTrace(); // The case could not run, unless it has been judged already.
     }
     System.exit(exit);
   }
--- a/review/standins/LateAnswers.java
+++ b/review/standins/LateAnswers.java
@@ -22,10 +22,12 @@
   /** What a gateway said of the task. */
   record Status(long askedNanos, long answeredNanos, String state, boolean holds, long term, long leftMillis) {}
 
-  public static void main(String[] arguments) throws Exception {
+  public static void main(String[] arguments) {
     int exit = 2;
     try (Rig rig = new Rig(arguments[0])) {
       exit = run(rig);
+    } catch (Exception e) {
+      e.printStackTrace(); // The case could not run, unless it has been judged already.
     }
     System.exit(exit);
   }
--- a/review/standins/ManyAtOnce.java
+++ b/review/standins/ManyAtOnce.java
@@ -8,13 +8,16 @@
   static final int PACE = Integer.getInteger("pace", 5_000_000);
   static final int BODY = Integer.getInteger("body", 230_000);
   static final int AT_ONCE = 32;
+  static final int RECEIVE_BUFFER = Integer.getInteger("rcvbuf", 0);
   static final int ROUNDS = Integer.getInteger("rounds", 6);
   static final int CLIENTS = Integer.getInteger("clients", 8);
 
-  public static void main(String[] arguments) throws Exception {
+  public static void main(String[] arguments) {
     int exit = 2;
     try (Rig rig = new Rig(arguments[0])) {
       exit = run(rig);
+    } catch (Exception e) {
+      e.printStackTrace(); // The case could not run, unless it has been judged already.
     }
     System.exit(exit);
   }
@@ -56,34 +59,40 @@
     List<Client.Request> requests = new ArrayList<>();
     List<Client> clients = new ArrayList<>();
     for (int index = 0; index < CLIENTS; index++) {
-      clients.add(rig.own(new Client(port, Integer.getInteger("rcvbuf", 0), PACE)));
+      clients.add(rig.own(new Client(port, RECEIVE_BUFFER, PACE)));
     }
     for (int round = 0; round < ROUNDS; round++) {
+      List<String> objects = new ArrayList<>();
       for (int client = 0; client < CLIENTS; client++) {
         if (clients.get(client).hasEnded()) {
-          clients.set(client, rig.own(new Client(port, Integer.getInteger("rcvbuf", 0), PACE)));
+          clients.set(client, rig.own(new Client(port, RECEIVE_BUFFER, PACE)));
           rig.log("client %d opened a new connection", client);
         }
-        String object = String.format("%016x", random.nextInt(500) + 1L);
-        for (int part = 0; part < AT_ONCE; part++) {
-          try {
-            requests.add(clients.get(client).send("video-parts", object, part, 7, 640, 5000, new byte[0]));
-          } catch (IOException e) {
-            rig.log("client %d: %s", client, e);
-          }
-          if (!Rig.TROUBLE) {
-            Thread.sleep(60);
-          }
+        objects.add(String.format("%016x", random.nextInt(500) + 1L));
+      }
+      // With trouble, a client sends all its GETs at once; without, all clients send one after another.
+      for (int step = 0; step < AT_ONCE * CLIENTS; step++) {
+        int client = Rig.TROUBLE ? step / AT_ONCE : step % CLIENTS;
+        int part = Rig.TROUBLE ? step % AT_ONCE : step / CLIENTS;
+        try {
+          requests.add(
+              clients
+                  .get(client)
+                  .send("video-parts", objects.get(client), part, 7, 640, 5000, new byte[0]));
+        } catch (IOException e) {
+          rig.log("client %d: %s", client, e);
+        }
+        if (!Rig.TROUBLE && client == CLIENTS - 1) {
+          Thread.sleep(90);
         }
-        rig.log("client %d has %d GETs open", client, clients.get(client).openCount());
       }
+      rig.log("client 0 has %d GETs open", clients.get(0).openCount());
       Thread.sleep(3000);
     }
     Thread.sleep(3000);
     long now = System.nanoTime();
     int lost = 0;
     int served = 0;
-    int wrong = 0;
     for (Client.Request request : requests) {
       boolean isLost = request.isLost(now);
       lost += isLost ? 1 : 0;
--- a/review/standins/Rig.java
+++ b/review/standins/Rig.java
@@ -133,14 +133,6 @@
     return isDone && process.exitValue() == 0;
   }
 
-  /** Sends a signal to a process that this rig started. */
-  void signal(GatewayProcess gateway, String signal) throws IOException, InterruptedException {
-    log("SIG%s to gateway %s, pid %d", signal, gateway.name, gateway.process.pid());
-    new ProcessBuilder("/bin/kill", "-" + signal, Long.toString(gateway.process.pid()))
-        .start()
-        .waitFor();
-  }
-
   private void killAll() {
     for (GatewayProcess gateway : gateways) {
       gateway.process.destroyForcibly();
