Partial requests of all clients together have a bound, past which the oldest are rejected

Cause: MessageReader kept up to 256,384 bytes for each connection and nothing bounded the sum. Evidence: byte arrays took 9 MB of the heap before the bad clients and 59.6 MB of its 64 MB with them (heap histograms); all else stayed under 5 MB. The allocation of announced lengths in MessageReader.skip is garbage after each call; it goes too.

Change: ReceiveBufferAccounting bounds the buffers of partial requests by 1/24 of the memory. Past it, the request that has received nothing for longest is discarded: MessageScanner scans its bytes without keeping them, and it is rejected with Retry-After once complete. No connection is closed, so nothing that is in flight on it is lost.

Why it works: what is buffered is bounded by the setting whatever clients send, and a discarded request costs a few bytes.

--- a/gateway/src/main/java/org/amberpath/gateway/ClientListener.java
+++ b/gateway/src/main/java/org/amberpath/gateway/ClientListener.java
@@ -11,6 +11,7 @@
 import org.amberpath.gateway.pipeline.PipelineContext;
 import org.amberpath.gateway.pipeline.RequestPipeline;
 import org.amberpath.gateway.transport.AcceptLimit;
+import org.amberpath.gateway.transport.ReceiveBufferAccounting;
 import org.amberpath.gateway.transport.SingleEventLoopTransport;
 
 /** Listens on the gateway's address and accepts the connections of clients. */
@@ -28,6 +29,7 @@
   private final GatewayOptions options;
   private final RequestPipeline pipeline;
   private final WriteBufferAccounting writeBuffers;
+  private final ReceiveBufferAccounting partialRequests;
   private final NetServer server;
 
   ClientListener(GatewayOptions options, RequestPipeline pipeline) {
@@ -35,6 +37,7 @@
     this.pipeline = pipeline;
     writeBuffers =
         new WriteBufferAccounting(options.maxUnreadBytesPerClient(), options.maxUnreadBytes());
+    partialRequests = new ReceiveBufferAccounting(options.maxPartialRequestBytes());
     Vertx vertx = pipeline.context().vertx();
     server = vertx.createNetServer(new NetServerOptions().setAcceptBacklog(ACCEPT_BACKLOG));
     server.connectHandler(this::accept);
@@ -44,7 +47,11 @@
     PipelineContext context = pipeline.context();
     ClientConnection client =
         new ClientConnection(
-            socket, writeBuffers, context.clock()::nowNanos, pipeline.clientHandler());
+            socket,
+            writeBuffers,
+            partialRequests,
+            context.clock()::nowNanos,
+            pipeline.clientHandler());
     context.lagMonitor().connectionAccepted(client, AcceptLimit.queuedNanos(socket));
     pipeline.clients().add(client);
   }
--- a/gateway/src/main/java/org/amberpath/gateway/GatewayOptions.java
+++ b/gateway/src/main/java/org/amberpath/gateway/GatewayOptions.java
@@ -42,6 +42,9 @@
   /** All clients together may leave unread at most the configured memory divided by this. */
   private static final int UNREAD_TOTAL_DIVISOR = 12;
 
+  /** Partially received requests may take at most the configured memory divided by this. */
+  private static final int PARTIAL_REQUESTS_DIVISOR = 24;
+
   private static final int MAX_BODY_BYTES = 240_000;
 
   /** The upper bound of a class's viewer timeout, and its value where a class states none. */
@@ -253,6 +256,11 @@
     return descriptors / 2;
   }
 
+  /** Returns how many bytes all partially received requests together may take. */
+  public long maxPartialRequestBytes() {
+    return memoryBytes / PARTIAL_REQUESTS_DIVISOR;
+  }
+
   /** Returns how many bytes of its responses one client may leave unread. */
   public long maxUnreadBytesPerClient() {
     return memoryBytes / UNREAD_PER_CLIENT_DIVISOR;
--- a/gateway/src/main/java/org/amberpath/gateway/client/ClientConnection.java
+++ b/gateway/src/main/java/org/amberpath/gateway/client/ClientConnection.java
@@ -9,12 +9,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.amberpath.gateway.transport.Channels;
+import org.amberpath.gateway.transport.ReceiveBufferAccounting;
 
 /**
  * The server side of one client's MessagePack-RPC connection. Responses are sent in the order in
  * which requests complete. At most 32 requests are in flight; {@link WriteBufferAccounting} bounds
- * the response bytes that are not yet written to the socket. Confined to the event loop of the
- * socket.
+ * the response bytes that are not yet written to the socket, {@link ReceiveBufferAccounting} the
+ * bytes of partially received messages. Confined to the event loop of the socket.
  */
 public final class ClientConnection implements MessageReader.Sink {
   /** Maximum length in bytes of a body that a client sends or receives. */
@@ -35,7 +36,7 @@
   private final NetSocket socket;
   private final ClientHandler handler;
   private final LongSupplier clock;
-  private final MessageReader reader = new MessageReader(MAX_MESSAGE_BYTES, this);
+  private final MessageReader reader;
   private final RequestSession session;
   private final WriteBufferAccounting accounting;
   private ClientConnectionState state = ClientConnectionState.OPEN;
@@ -57,12 +58,14 @@
    * Installs the handlers of an accepted socket and starts to decode what the client sends.
    *
    * @param accounting bounds the unwritten response bytes, shared by all client connections
+   * @param partialMessages bounds the bytes of partial messages, shared by all client connections
    * @param clock monotonic time in nanoseconds
    * @param handler receives the decoded requests and the events of the connection
    */
   public ClientConnection(
       NetSocket socket,
       WriteBufferAccounting accounting,
+      ReceiveBufferAccounting partialMessages,
       LongSupplier clock,
       ClientHandler handler) {
     this.socket = socket;
@@ -70,6 +73,7 @@
     this.clock = clock;
     this.handler = handler;
     session = new RequestSession(this, handler);
+    reader = new MessageReader(MAX_MESSAGE_BYTES, partialMessages, this);
     lastActivityNanos = clock.getAsLong();
     socket.handler(
         bytes -> {
@@ -139,6 +143,25 @@
     return state.sendsResponses();
   }
 
+  @Override
+  public void onDiscarding(byte[] bytes, int end) {
+    try {
+      session.startDiscarding(bytes, end);
+    } catch (IOException | RuntimeException e) {
+      onProtocolError(ProtocolException.reasonOf(e));
+    }
+  }
+
+  @Override
+  public boolean onDiscarded() {
+    try {
+      session.rejectDiscarded();
+    } catch (IOException e) {
+      onProtocolError(ProtocolException.reasonOf(e));
+    }
+    return state.sendsResponses();
+  }
+
   /**
    * Rejects each further request as overloaded, except one that has already been received in part.
    */
@@ -325,6 +348,7 @@
     }
     state = next;
     if (previous.sendsResponses() && !next.sendsResponses()) {
+      reader.stop();
       session.dropAll();
       handler.connectionEnded(this);
     }
--- a/gateway/src/main/java/org/amberpath/gateway/client/ClientHandler.java
+++ b/gateway/src/main/java/org/amberpath/gateway/client/ClientHandler.java
@@ -20,6 +20,13 @@
    */
   void requestReceived(ClientConnection connection, long messageId, DecodedRequest request);
 
+  /**
+   * Called when the bytes of a partially received request are discarded, because the partial
+   * messages of all clients take too much memory. The connection rejects the request as overloaded
+   * once its last byte was received.
+   */
+  void requestDiscarded(ClientConnection connection);
+
   /** Called when the client cancels a request in flight, which must then not be answered. */
   void requestCancelled(ClientConnection connection, long messageId);
 
--- a/gateway/src/main/java/org/amberpath/gateway/client/MessageReader.java
+++ b/gateway/src/main/java/org/amberpath/gateway/client/MessageReader.java
@@ -4,20 +4,16 @@
 import io.vertx.core.buffer.Buffer;
 import java.io.IOException;
 import java.util.Arrays;
-import org.msgpack.core.MessageInsufficientBufferException;
-import org.msgpack.core.MessagePack;
-import org.msgpack.core.MessageUnpacker;
+import org.amberpath.gateway.transport.ReceiveBufferAccounting;
 
 /**
- * Splits a byte stream into complete MessagePack values, independently of how TCP segmented it.
- * Confined to one event loop.
+ * Splits a byte stream into complete MessagePack values, independently of how TCP segmented it. The
+ * buffer of a value that is received in part can be released: its remaining bytes are then scanned
+ * and discarded. Confined to one event loop.
  */
-public final class MessageReader implements Handler<Buffer> {
-  private static final int MAX_VALUES = 512;
-  private static final int INITIAL_BUFFER_BYTES = 1024;
-
-  /** A buffer larger than this is replaced by a smaller one once its messages are consumed. */
-  private static final int MAX_RETAINED_BUFFER_BYTES = 16_384;
+public final class MessageReader implements Handler<Buffer>, ReceiveBufferAccounting.Holder {
+  /** A partial message in a buffer of at most this length is neither counted nor discarded. */
+  static final int MAX_UNCOUNTED_BYTES = 4096;
 
   /** Receives the values of a stream, and its protocol error if there is one. */
   public interface Sink {
@@ -32,29 +28,62 @@
      */
     boolean onMessage(byte[] bytes, int start, int end);
 
+    /**
+     * Called when a value that has been received in part is going to be discarded, since partial
+     * messages take too much memory.
+     *
+     * @param bytes its beginning; a shared array, valid during the call only
+     * @param end offset after the last byte that was received
+     */
+    default void onDiscarding(byte[] bytes, int end) {}
+
+    /**
+     * Called when the last byte of a discarded value was received.
+     *
+     * @return as for {@link #onMessage}
+     */
+    default boolean onDiscarded() {
+      return true;
+    }
+
     /** Called when the stream violates the protocol; the reader ignores all further input. */
     void onProtocolError(String reason);
   }
 
   private final int maxMessageBytes;
+  private final ReceiveBufferAccounting accounting;
   private final Sink sink;
-  private byte[] buffer = new byte[INITIAL_BUFFER_BYTES];
+  private final MessageScanner scanner;
+
+  /** The bytes of a partial message; null if there are none. */
+  private byte[] buffer;
+
   private int bufferedBytes;
+
+  /** The number of buffered bytes that were scanned. */
+  private int scannedBytes;
+
+  /** Whether the value that is being received is discarded. */
+  private boolean discarding;
+
   private boolean stopped;
 
   /**
    * Creates a reader of one stream.
    *
    * @param maxMessageBytes maximum length of one value in bytes
+   * @param accounting bounds the memory of all readers that share it
    */
-  public MessageReader(int maxMessageBytes, Sink sink) {
+  public MessageReader(int maxMessageBytes, ReceiveBufferAccounting accounting, Sink sink) {
     this.maxMessageBytes = maxMessageBytes;
+    this.accounting = accounting;
     this.sink = sink;
+    scanner = new MessageScanner(maxMessageBytes);
   }
 
   /** Returns whether the last value has been received only in part. */
   boolean hasPartialMessage() {
-    return bufferedBytes > 0;
+    return discarding || bufferedBytes > 0;
   }
 
   /** Appends received bytes and passes each value that is now complete to the sink. */
@@ -64,24 +93,24 @@
       return;
     }
     append(received);
-    int start = 0;
     try {
-      for (int end = endOfValue(start); end > start; end = endOfValue(start)) {
-        if (!sink.onMessage(buffer, start, end)) {
-          stop();
-          return;
-        }
-        start = end;
+      int messageStart = readCompleteValues();
+      if (!stopped) {
+        keepFrom(messageStart);
+        accounting.update(this, countedBytes());
       }
     } catch (IOException | RuntimeException e) {
       stop();
       sink.onProtocolError(ProtocolException.reasonOf(e));
-      return;
     }
-    discard(start);
   }
 
   private void append(Buffer received) {
+    if (bufferedBytes == 0) {
+      buffer = received.getBytes();
+      bufferedBytes = buffer.length;
+      return;
+    }
     int neededBytes = bufferedBytes + received.length();
     if (buffer.length < neededBytes) {
       buffer =
@@ -92,66 +121,61 @@
     bufferedBytes = neededBytes;
   }
 
-  private void discard(int consumedBytes) {
-    bufferedBytes -= consumedBytes;
-    byte[] oldBuffer = buffer;
-    if (bufferedBytes <= MAX_RETAINED_BUFFER_BYTES && buffer.length > MAX_RETAINED_BUFFER_BYTES) {
-      buffer = new byte[Math.max(bufferedBytes, INITIAL_BUFFER_BYTES)];
+  /** Returns the offset of the first byte that has to be kept. */
+  private int readCompleteValues() throws IOException {
+    int messageStart = 0;
+    while (scannedBytes < bufferedBytes) {
+      scannedBytes = scanner.scan(buffer, scannedBytes, bufferedBytes);
+      if (!scanner.isComplete()) {
+        return discarding ? scannedBytes : messageStart;
+      }
+      boolean wasDiscarding = discarding;
+      discarding = false;
+      scanner.reset();
+      boolean isContinued =
+          wasDiscarding ? sink.onDiscarded() : sink.onMessage(buffer, messageStart, scannedBytes);
+      if (!isContinued) {
+        stop();
+      }
+      if (stopped) {
+        return 0;
+      }
+      messageStart = scannedBytes;
     }
-    System.arraycopy(oldBuffer, consumedBytes, buffer, 0, bufferedBytes);
+    return messageStart;
   }
 
-  private void stop() {
-    stopped = true;
-    bufferedBytes = 0;
-    buffer = null;
-  }
-
-  /** Returns the offset after the value at {@code start}, or {@code start} if it is incomplete. */
-  private int endOfValue(int start) throws IOException {
-    MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(buffer, start, bufferedBytes - start);
-    long remainingValues = 1;
-    try {
-      // The bound on values guards against deep nesting, and against messages of many values that
-      // are received byte by byte and parsed again after each read.
-      for (int valueCount = 0; remainingValues > 0; valueCount++, remainingValues--) {
-        if (valueCount == MAX_VALUES) {
-          throw tooManyValues();
-        }
-        switch (unpacker.getNextFormat().getValueType()) {
-          case ARRAY -> remainingValues += checkedCount(unpacker.unpackArrayHeader());
-          case MAP -> remainingValues += 2L * checkedCount(unpacker.unpackMapHeader());
-          case STRING -> skip(unpacker, unpacker.unpackRawStringHeader());
-          case BINARY -> skip(unpacker, unpacker.unpackBinaryHeader());
-          case EXTENSION -> skip(unpacker, unpacker.unpackExtensionTypeHeader().getLength());
-          default -> unpacker.skipValue();
-        }
-      }
-      return start + (int) unpacker.getTotalReadBytes();
-    } catch (MessageInsufficientBufferException e) {
-      return start;
+  private void keepFrom(int start) {
+    if (start == bufferedBytes) {
+      buffer = null;
+    } else if (start > 0) {
+      buffer = Arrays.copyOfRange(buffer, start, bufferedBytes);
     }
+    bufferedBytes -= start;
+    scannedBytes -= start;
   }
 
-  /**
-   * Skips a payload. Rejects a length above the maximum as soon as its header is read, so that the
-   * oversized payload is never buffered.
-   */
-  private void skip(MessageUnpacker unpacker, int length) throws IOException {
-    if (length < 0 || length + unpacker.getTotalReadBytes() > maxMessageBytes) {
-      throw new ProtocolException("message longer than " + maxMessageBytes + " bytes");
-    }
-    unpacker.readPayloadAsReference(length);
+  private int countedBytes() {
+    return buffer == null || buffer.length <= MAX_UNCOUNTED_BYTES ? 0 : buffer.length;
   }
 
-  private static int checkedCount(int declared) throws ProtocolException {
-    if (declared < 0 || declared > MAX_VALUES) {
-      throw tooManyValues();
-    }
-    return declared;
+  /** Discards the value that is being received. */
+  @Override
+  public void releaseBuffer() {
+    discarding = true;
+    byte[] beginning = buffer;
+    int receivedBytes = bufferedBytes;
+    keepFrom(scannedBytes);
+    sink.onDiscarding(beginning, receivedBytes);
   }
 
-  private static ProtocolException tooManyValues() {
-    return new ProtocolException("message of more than " + MAX_VALUES + " values");
+  /** Ignores all further input and releases the buffer. */
+  void stop() {
+    stopped = true;
+    discarding = false;
+    bufferedBytes = 0;
+    scannedBytes = 0;
+    buffer = null;
+    accounting.remove(this);
   }
 }
--- a/gateway/src/main/java/org/amberpath/gateway/client/RequestSession.java
+++ b/gateway/src/main/java/org/amberpath/gateway/client/RequestSession.java
@@ -14,6 +14,7 @@
   private static final int MAX_IN_FLIGHT = 32;
   private static final long MAX_MESSAGE_ID = 0xffff_ffffL;
   private static final String STATUS_METHOD = "status";
+  private static final String PROTOCOL_VIOLATED = "the protocol was violated on this connection";
 
   /** Which requests are passed to the admission check of the handler; all others are rejected. */
   private enum Admission {
@@ -35,6 +36,9 @@
   /** Whether the client has violated the protocol, so that each further request gets an error. */
   private boolean protocolViolated;
 
+  /** The message id of the request whose bytes are being discarded; empty for none. */
+  private OptionalLong discardedId = OptionalLong.empty();
+
   /** Creates the session of a new connection, with no request in flight. */
   RequestSession(ClientConnection connection, ClientHandler handler) {
     this.connection = connection;
@@ -89,17 +93,58 @@
         handleNotification(decoder);
       }
     }
+    markMessageReceived();
+  }
+
+  private void markMessageReceived() {
     messageReceived = true;
     if (admission == Admission.PARTIAL_MESSAGE) {
       admission = Admission.NONE;
     }
   }
 
+  /**
+   * Notes the message id of a partially received request, of which the rest is going to be
+   * discarded.
+   *
+   * @param bytes the beginning of the message
+   * @param end offset after the last byte that was received
+   * @throws IOException if the beginning violates the protocol
+   */
+  void startDiscarding(byte[] bytes, int end) throws IOException {
+    try (RequestDecoder decoder = new RequestDecoder(bytes, 0, end)) {
+      discardedId =
+          decoder.readKind() == RequestDecoder.Kind.REQUEST
+              ? OptionalLong.of(decoder.readMessageId())
+              : OptionalLong.empty();
+    }
+    handler.requestDiscarded(connection);
+  }
+
+  /**
+   * Rejects the discarded request, now that its last byte was received.
+   *
+   * @throws ProtocolException if its message id violates the protocol
+   */
+  void rejectDiscarded() throws ProtocolException {
+    if (discardedId.isPresent()) {
+      long messageId = discardedId.getAsLong();
+      addInFlight(messageId);
+      if (protocolViolated) {
+        connection.sendError(messageId, PROTOCOL_VIOLATED);
+      } else {
+        requestReceived = true;
+        connection.sendOverloaded(messageId, handler.retryAfterNanos());
+      }
+    }
+    markMessageReceived();
+  }
+
   private void handleRequest(RequestDecoder decoder) throws IOException {
     long messageId = decoder.readMessageId();
     addInFlight(messageId);
     if (protocolViolated) {
-      connection.sendError(messageId, "the protocol was violated on this connection");
+      connection.sendError(messageId, PROTOCOL_VIOLATED);
       return;
     }
     try {
--- a/gateway/src/main/java/org/amberpath/gateway/client/RequestWarmUp.java
+++ b/gateway/src/main/java/org/amberpath/gateway/client/RequestWarmUp.java
@@ -3,6 +3,7 @@
 import io.vertx.core.buffer.Buffer;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import org.amberpath.gateway.transport.ReceiveBufferAccounting;
 
 /**
  * Warms up the codec before the first client connects: decodes synthetic requests and encodes their
@@ -33,7 +34,9 @@
   /** Decodes this number of requests and encodes responses; returns how many were decoded. */
   public static int run(int requests) {
     RequestWarmUp warmUp = new RequestWarmUp();
-    MessageReader reader = new MessageReader(PART_REQUEST.length, warmUp);
+    MessageReader reader =
+        new MessageReader(
+            PART_REQUEST.length, new ReceiveBufferAccounting(PART_REQUEST.length), warmUp);
     for (int request = 0; request < requests; request++) {
       reader.handle(Buffer.buffer(PART_REQUEST));
     }
--- a/gateway/src/main/java/org/amberpath/gateway/pipeline/RequestReceiver.java
+++ b/gateway/src/main/java/org/amberpath/gateway/pipeline/RequestReceiver.java
@@ -50,6 +50,13 @@
     admissionControl.receive(client, messageId, decoded, nowNanos, lagNanos);
   }
 
+  @Override
+  public void requestDiscarded(ClientConnection client) {
+    context
+        .protocolErrors()
+        .add(client, "request: only a part received and partial requests exceed their memory");
+  }
+
   @Override
   public void requestCancelled(ClientConnection client, long messageId) {
     cancel(context.inFlight().findUnanswered(client, messageId));
--- a/gateway/src/test/java/org/amberpath/gateway/ClientConnectionCloseTest.java
+++ b/gateway/src/test/java/org/amberpath/gateway/ClientConnectionCloseTest.java
@@ -29,6 +29,7 @@
 import org.amberpath.gateway.testsupport.ClientAnswer;
 import org.amberpath.gateway.testsupport.Conditions;
 import org.amberpath.gateway.testsupport.TestClient;
+import org.amberpath.gateway.transport.ReceiveBufferAccounting;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -46,6 +47,7 @@
 class ClientConnectionCloseTest implements ClientHandler {
   private static final int MAX_CONNECTIONS = 20;
   private static final int MAX_UNWRITTEN_BYTES = 1 << 20;
+  private static final int MAX_PARTIAL_BYTES = 1 << 20;
 
   /** Number of the part whose body exceeds {@link #MAX_UNWRITTEN_BYTES}. */
   private static final int LARGE_PART = 13;
@@ -75,6 +77,7 @@
   void listen() throws Exception {
     WriteBufferAccounting accounting =
         new WriteBufferAccounting(MAX_UNWRITTEN_BYTES, MAX_UNWRITTEN_BYTES);
+    ReceiveBufferAccounting partialMessages = new ReceiveBufferAccounting(MAX_PARTIAL_BYTES);
     port =
         vertx
             .createNetServer()
@@ -82,7 +85,9 @@
                 socket -> {
                   eventLoopThread = Thread.currentThread();
                   heldConnections.incrementAndGet();
-                  clients.add(new ClientConnection(socket, accounting, clock::nowNanos, this));
+                  clients.add(
+                      new ClientConnection(
+                          socket, accounting, partialMessages, clock::nowNanos, this));
                   maxHeldConnections.accumulateAndGet(clients.descriptorCount(), Math::max);
                 })
             .listen(0, "127.0.0.1")
@@ -119,6 +124,9 @@
     connection.sendNotModified(messageId);
   }
 
+  @Override
+  public void requestDiscarded(ClientConnection connection) {}
+
   @Override
   public void requestCancelled(ClientConnection connection, long messageId) {}
 
--- a/gateway/src/test/java/org/amberpath/gateway/client/MessageReaderTest.java
+++ b/gateway/src/test/java/org/amberpath/gateway/client/MessageReaderTest.java
@@ -13,6 +13,7 @@
 import java.util.Arrays;
 import java.util.HexFormat;
 import java.util.List;
+import org.amberpath.gateway.transport.ReceiveBufferAccounting;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -22,8 +23,11 @@
 /** Framing of MessagePack from clients: all header widths, any segmentation, and the bounds. */
 class MessageReaderTest implements MessageReader.Sink {
   private final List<byte[]> messages = new ArrayList<>();
+  private final List<byte[]> discardedBeginnings = new ArrayList<>();
+  private int discardedMessages;
   private final List<String> protocolErrors = new ArrayList<>();
-  private final MessageReader reader = new MessageReader(5000, this);
+  private final ReceiveBufferAccounting accounting = new ReceiveBufferAccounting(20_000);
+  private final MessageReader reader = new MessageReader(5000, accounting, this);
 
   @Override
   public boolean onMessage(byte[] bytes, int start, int end) {
@@ -31,6 +35,17 @@
     return true;
   }
 
+  @Override
+  public void onDiscarding(byte[] bytes, int end) {
+    discardedBeginnings.add(Arrays.copyOf(bytes, end));
+  }
+
+  @Override
+  public boolean onDiscarded() {
+    discardedMessages++;
+    return true;
+  }
+
   @Override
   public void onProtocolError(String reason) {
     protocolErrors.add(reason);
@@ -149,6 +164,45 @@
     assertEquals(List.of("message of more than 512 values"), protocolErrors);
   }
 
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 5, 6, 9, 100, 4500})
+  void messageWhoseBufferIsReleasedIsDiscardedUpToItsEnd(int bufferedBytes) {
+    byte[] message =
+        HexFormat.of().parseHex("9307d91e" + "61".repeat(30) + "c51194" + "62".repeat(4500));
+    byte[] next = HexFormat.of().parseHex("920102");
+    reader.handle(Buffer.buffer(Arrays.copyOf(message, bufferedBytes)));
+
+    reader.releaseBuffer();
+    reader.handle(
+        Buffer.buffer(Arrays.copyOfRange(message, bufferedBytes, message.length))
+            .appendBytes(next));
+
+    assertArrayEquals(Arrays.copyOf(message, bufferedBytes), discardedBeginnings.get(0));
+    assertEquals(1, discardedMessages);
+    assertEquals(1, messages.size());
+    assertArrayEquals(next, messages.get(0));
+    assertTrue(protocolErrors.isEmpty());
+  }
+
+  /** Guards against a heap that is exhausted by partial messages of many connections. */
+  @Test
+  void partialMessageWithoutProgressForLongestIsDiscardedAboveTheBoundOfAllReaders() {
+    MessageReader other = new MessageReader(50_000, accounting, this);
+    byte[] header = HexFormat.of().parseHex("92c54000");
+    byte[] partial = Arrays.copyOf(HexFormat.of().parseHex("91c51300"), 4500);
+    reader.handle(Buffer.buffer(partial));
+
+    other.handle(Buffer.buffer(header));
+    other.handle(Buffer.buffer(new byte[15_000]));
+
+    assertEquals(0, discardedBeginnings.size());
+    other.handle(Buffer.buffer(new byte[1000]));
+    assertEquals(1, discardedBeginnings.size());
+    assertArrayEquals(partial, discardedBeginnings.get(0));
+    assertTrue(reader.hasPartialMessage());
+    assertTrue(protocolErrors.isEmpty());
+  }
+
   @Test
   void warmUpDecodesWhatItEncodes() {
     assertEquals(20, RequestWarmUp.run(20));
--- a/lab/src/main/java/org/amberpath/lab/LoadConnection.java
+++ b/lab/src/main/java/org/amberpath/lab/LoadConnection.java
@@ -8,6 +8,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.amberpath.gateway.client.MessageReader;
+import org.amberpath.gateway.transport.ReceiveBufferAccounting;
 
 /**
  * One client connection of a {@link LoadGenerator}. It reconnects {@value #RECONNECT_DELAY_MILLIS}
@@ -68,6 +69,7 @@
     connectedSocket.handler(
         new MessageReader(
             MAX_MESSAGE_BYTES,
+            new ReceiveBufferAccounting(MAX_MESSAGE_BYTES),
             new MessageReader.Sink() {
               @Override
               public boolean onMessage(byte[] bytes, int start, int end) {
