A client that reads slowly gets an error for what does not fit, and keeps its connection

Cause: WriteBufferAccounting.add aborted the connection that passed 1/48 of the memory, or the one with most unwritten past 1/12 in all. The amount does not tell a client with much to read from one that reads nothing. Evidence: the log names each of the closed connections with the bound it passed, each lost GET was open on one of them, and all of the clients were reading.

Change: ResponseBufferLimit (routing, under policy) lets a client hold as much as is still free of the 1/12. A body that does not fit fails its request at once. The total bound is as it was; the one for each client is gone.

Why it works: no bound closes a connection whose client reads, and the total still holds for any number that do not.

--- a/gateway/src/main/java/org/amberpath/gateway/ClientListener.java
+++ b/gateway/src/main/java/org/amberpath/gateway/ClientListener.java
@@ -13,6 +13,7 @@
 import org.amberpath.gateway.transport.AcceptLimit;
 import org.amberpath.gateway.transport.ReceiveBufferAccounting;
 import org.amberpath.gateway.transport.SingleEventLoopTransport;
+import org.amberpath.routing.ResponseBufferLimit;
 
 /** Listens on the gateway's address and accepts the connections of clients. */
 final class ClientListener {
@@ -36,7 +37,9 @@
     this.options = options;
     this.pipeline = pipeline;
     writeBuffers =
-        new WriteBufferAccounting(options.maxUnreadBytesPerClient(), options.maxUnreadBytes());
+        new WriteBufferAccounting(
+            new ResponseBufferLimit(options.maxUnreadBytes()),
+            pipeline.context().clock()::nowNanos);
     partialRequests = new ReceiveBufferAccounting(options.maxPartialRequestBytes());
     Vertx vertx = pipeline.context().vertx();
     server = vertx.createNetServer(new NetServerOptions().setAcceptBacklog(ACCEPT_BACKLOG));
--- a/gateway/src/main/java/org/amberpath/gateway/GatewayOptions.java
+++ b/gateway/src/main/java/org/amberpath/gateway/GatewayOptions.java
@@ -36,9 +36,6 @@
   private static final int MIN_MEMORY_MB = 32;
   private static final int BYTES_PER_MB_SHIFT = 20;
 
-  /** One client may leave unread at most the configured memory divided by this. */
-  private static final int UNREAD_PER_CLIENT_DIVISOR = 48;
-
   /** All clients together may leave unread at most the configured memory divided by this. */
   private static final int UNREAD_TOTAL_DIVISOR = 12;
 
@@ -261,11 +258,6 @@
     return memoryBytes / PARTIAL_REQUESTS_DIVISOR;
   }
 
-  /** Returns how many bytes of its responses one client may leave unread. */
-  public long maxUnreadBytesPerClient() {
-    return memoryBytes / UNREAD_PER_CLIENT_DIVISOR;
-  }
-
   /**
    * Returns how many bytes of their responses all clients together may leave unread. It is also the
    * length limit of a journal reply.
--- a/gateway/src/main/java/org/amberpath/gateway/client/ClientConnection.java
+++ b/gateway/src/main/java/org/amberpath/gateway/client/ClientConnection.java
@@ -209,10 +209,25 @@
     }
   }
 
-  /** Answers a request in flight with the body of a part; does nothing for any other message id. */
+  /**
+   * Answers a request in flight with the body of a part, or with an error if the client leaves so
+   * much unread that the memory for another body is missing. Does nothing for any other message id.
+   */
   public void sendBody(long messageId, Buffer body) {
-    if (session.removeInFlight(messageId)) {
+    if (!session.removeInFlight(messageId)) {
+      return;
+    }
+    if (accounting.permitsBody(this, body.length())) {
       send(ResponseEncoder.body(messageId, body));
+    } else {
+      handler.requestShed(
+          this,
+          "reads too slowly: response of "
+              + body.length()
+              + " bytes not sent, "
+              + unwrittenBytes
+              + " bytes unwritten");
+      send(ResponseEncoder.internalError(messageId, "too many responses are unread"));
     }
   }
 
--- a/gateway/src/main/java/org/amberpath/gateway/client/ClientHandler.java
+++ b/gateway/src/main/java/org/amberpath/gateway/client/ClientHandler.java
@@ -21,11 +21,11 @@
   void requestReceived(ClientConnection connection, long messageId, DecodedRequest request);
 
   /**
-   * Called when the bytes of a partially received request are discarded, because the partial
-   * messages of all clients take too much memory. The connection rejects the request as overloaded
-   * once its last byte was received.
+   * Called when a bound on memory costs a client a request, which the connection rejects or fails.
+   *
+   * @param reason the bound that was reached, for the log
    */
-  void requestDiscarded(ClientConnection connection);
+  void requestShed(ClientConnection connection, String reason);
 
   /** Called when the client cancels a request in flight, which must then not be answered. */
   void requestCancelled(ClientConnection connection, long messageId);
--- a/gateway/src/main/java/org/amberpath/gateway/client/RequestSession.java
+++ b/gateway/src/main/java/org/amberpath/gateway/client/RequestSession.java
@@ -14,6 +14,8 @@
   private static final int MAX_IN_FLIGHT = 32;
   private static final long MAX_MESSAGE_ID = 0xffff_ffffL;
   private static final String STATUS_METHOD = "status";
+  private static final String PARTIAL_REQUEST_SHED =
+      "request: only a part received and partial requests exceed their memory";
   private static final String PROTOCOL_VIOLATED = "the protocol was violated on this connection";
 
   /** Which requests are passed to the admission check of the handler; all others are rejected. */
@@ -118,7 +120,7 @@
               ? OptionalLong.of(decoder.readMessageId())
               : OptionalLong.empty();
     }
-    handler.requestDiscarded(connection);
+    handler.requestShed(connection, PARTIAL_REQUEST_SHED);
   }
 
   /**
--- a/gateway/src/main/java/org/amberpath/gateway/client/WriteBufferAccounting.java
+++ b/gateway/src/main/java/org/amberpath/gateway/client/WriteBufferAccounting.java
@@ -1,60 +1,97 @@
 package org.amberpath.gateway.client;
 
-import java.util.Comparator;
-import java.util.LinkedHashSet;
-import java.util.Set;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.amberpath.routing.ResponseBufferLimit;
 
 /**
- * Bounds the memory of responses that are not yet written to sockets because clients read slowly or
- * not at all, per connection and for all connections together. Confined to one event loop.
+ * Counts the response bytes that are not yet written to sockets because clients read slowly or not
+ * at all, and carries out the decisions of {@link ResponseBufferLimit}. Confined to one event loop.
  */
 public final class WriteBufferAccounting {
-  private final long maxBytesPerConnection;
-  private final long maxBytesTotal;
-  private final Set<ClientConnection> pendingConnections = new LinkedHashSet<>();
+  private final ResponseBufferLimit limit;
+  private final LongSupplier clock;
+
+  /**
+   * The connections with unwritten bytes and the clock time at which each last made progress, the
+   * one without progress for longest first.
+   */
+  private final Map<ClientConnection, Long> lastProgressNanos = new LinkedHashMap<>();
+
   private long totalBytes;
 
-  /** Creates the accounting with its bounds in bytes; a connection that exceeds one is aborted. */
-  public WriteBufferAccounting(long maxBytesPerConnection, long maxBytesTotal) {
-    this.maxBytesPerConnection = maxBytesPerConnection;
-    this.maxBytesTotal = maxBytesTotal;
+  /**
+   * Creates the accounting of connections that have no unwritten bytes.
+   *
+   * @param clock monotonic time in nanoseconds
+   */
+  public WriteBufferAccounting(ResponseBufferLimit limit, LongSupplier clock) {
+    this.limit = limit;
+    this.clock = clock;
   }
 
   /**
-   * Adds bytes that are about to be written. Aborts the connection if it exceeds its own bound, or
-   * the connection with the most unwritten bytes if the total exceeds its bound.
+   * Returns whether the body of a response may be written to a connection. Clients that have
+   * stopped reading are disconnected if their memory is needed for it, the connection's own client
+   * among them.
+   */
+  boolean permitsBody(ClientConnection connection, long bodyBytes) {
+    while (!limit.permitsBody(connection.unwrittenBytes, totalBytes, bodyBytes)) {
+      if (!abortStalledConnection()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private boolean abortStalledConnection() {
+    if (lastProgressNanos.isEmpty()) {
+      return false;
+    }
+    Map.Entry<ClientConnection, Long> first = lastProgressNanos.entrySet().iterator().next();
+    long stalledNanos = clock.getAsLong() - first.getValue();
+    if (!limit.isStalled(stalledNanos)) {
+      return false;
+    }
+    abort(first.getKey(), stalledNanos);
+    return true;
+  }
+
+  /**
+   * Adds bytes that are about to be written. If all connections together exceed the bound, the one
+   * without progress for longest is aborted.
    */
   void add(ClientConnection connection, long bytes) {
     totalBytes += bytes;
     connection.unwrittenBytes += bytes;
-    pendingConnections.add(connection);
-    if (connection.unwrittenBytes > maxBytesPerConnection) {
-      connection.abort(
-          "reads too slowly: "
-              + connection.unwrittenBytes
-              + " response bytes unwritten, allowed "
-              + maxBytesPerConnection);
-    } else if (totalBytes > maxBytesTotal) {
-      ClientConnection slowest =
-          pendingConnections.stream()
-              .max(Comparator.comparingLong(one -> one.unwrittenBytes))
-              .orElse(connection);
-      slowest.abort(
-          "reads most slowly of all clients: "
-              + slowest.unwrittenBytes
-              + " response bytes unwritten, of all clients "
-              + totalBytes
-              + ", allowed "
-              + maxBytesTotal);
+    lastProgressNanos.putIfAbsent(connection, clock.getAsLong());
+    if (limit.isExceeded(totalBytes)) {
+      Map.Entry<ClientConnection, Long> first = lastProgressNanos.entrySet().iterator().next();
+      abort(first.getKey(), clock.getAsLong() - first.getValue());
     }
   }
 
+  private void abort(ClientConnection connection, long stalledNanos) {
+    connection.abort(
+        "reads too slowly: "
+            + connection.unwrittenBytes
+            + " response bytes unwritten, none written for "
+            + TimeUnit.NANOSECONDS.toMillis(stalledNanos)
+            + " ms, of all clients "
+            + totalBytes);
+    // Closing fails the pending writes, which removes their bytes.
+    lastProgressNanos.remove(connection);
+  }
+
   /** Subtracts bytes that have been written to the socket or dropped. */
   void remove(ClientConnection connection, long bytes) {
     totalBytes -= bytes;
     connection.unwrittenBytes -= bytes;
-    if (connection.unwrittenBytes == 0) {
-      pendingConnections.remove(connection);
+    lastProgressNanos.remove(connection);
+    if (connection.unwrittenBytes > 0) {
+      lastProgressNanos.put(connection, clock.getAsLong());
     }
   }
 }
--- a/gateway/src/main/java/org/amberpath/gateway/pipeline/RequestReceiver.java
+++ b/gateway/src/main/java/org/amberpath/gateway/pipeline/RequestReceiver.java
@@ -51,10 +51,8 @@
   }
 
   @Override
-  public void requestDiscarded(ClientConnection client) {
-    context
-        .protocolErrors()
-        .add(client, "request: only a part received and partial requests exceed their memory");
+  public void requestShed(ClientConnection client, String reason) {
+    context.protocolErrors().add(client, reason);
   }
 
   @Override
