Partial replies of all caches together have a bound, past which the oldest connection closes

Need: the same cause as that of the partial requests, on the way from caches. A connection to a cache buffers up to 240,000 bytes of a reply, up to 16 elements of it, and nothing bounded all connections together: up to 456 of them beside a heap of 64 MB.

Change: ReceiveBufferAccounting bounds partial replies by 1/12 of the memory. Past it, the connection that has received nothing for longest is closed: its commands end as lost, since they may have run, and are retried where that is allowed.

--- a/gateway/src/main/java/org/amberpath/gateway/GatewayOptions.java
+++ b/gateway/src/main/java/org/amberpath/gateway/GatewayOptions.java
@@ -42,6 +42,11 @@
   /** Partially received requests may take at most the configured memory divided by this. */
   private static final int PARTIAL_REQUESTS_DIVISOR = 24;
 
+  /**
+   * Partially received replies of caches may take at most the configured memory divided by this.
+   */
+  private static final int PARTIAL_REPLIES_DIVISOR = 12;
+
   private static final int MAX_BODY_BYTES = 240_000;
 
   /** The upper bound of a class's viewer timeout, and its value where a class states none. */
@@ -206,7 +211,8 @@
         maxCommandsPerConnection,
         connectTimeoutNanos,
         cacheIdleTimeoutNanos * 3 / 4,
-        MAX_BODY_BYTES);
+        MAX_BODY_BYTES,
+        memoryBytes / PARTIAL_REPLIES_DIVISOR);
   }
 
   /** Returns the gateway's name in its log. */
--- a/gateway/src/main/java/org/amberpath/gateway/cache/CacheConnection.java
+++ b/gateway/src/main/java/org/amberpath/gateway/cache/CacheConnection.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import org.amberpath.gateway.transport.Channels;
+import org.amberpath.gateway.transport.ReceiveBufferAccounting;
 import org.amberpath.routing.AttemptOutcome;
 import org.amberpath.routing.ResponseDetail;
 
@@ -16,7 +17,10 @@
  * One connection to a cache, with multiple commands in flight and replies in any order. Confined to
  * the event loop of its pool. Times are in nanoseconds of the pool's clock.
  */
-final class CacheConnection implements ReplyReader.Sink {
+final class CacheConnection implements ReplyReader.Sink, ReceiveBufferAccounting.Holder {
+  /** A partial reply of at most this length is not counted. */
+  private static final int MAX_UNCOUNTED_BYTES = 4096;
+
   /** The states of a connection. */
   private enum State {
     /** Commands are sent and replies are read. The initial state. */
@@ -34,6 +38,7 @@
   private final NetSocket socket;
   private final Map<String, CacheCommand> inFlight = new LinkedHashMap<>();
   private final ReplyReader reader;
+  private final ReceiveBufferAccounting partialReplies;
   private State state = State.OPEN;
   private long lastReadNanos;
   private long lastUsedNanos;
@@ -41,14 +46,16 @@
   /**
    * Installs the handlers of a connected socket.
    *
-   * @param maxBodyBytes maximum length of a reply's body; a longer one is a protocol error
+   * @param bounds the bounds on a reply's body, where a longer one is a protocol error, and on the
+   *     bytes of partial replies
    */
-  CacheConnection(CachePool pool, NetSocket socket, int maxBodyBytes, long nowNanos) {
+  CacheConnection(CachePool pool, NetSocket socket, PoolBounds bounds, long nowNanos) {
     this.pool = pool;
     this.socket = socket;
     lastReadNanos = nowNanos;
     lastUsedNanos = nowNanos;
-    reader = new ReplyReader(maxBodyBytes, this);
+    reader = new ReplyReader(bounds.maxBodyBytes(), this);
+    partialReplies = bounds.partialReplies();
     socket.handler(this::onRead);
     socket.exceptionHandler(e -> {}); // A close event always follows.
     socket.closeHandler(v -> onClosed());
@@ -60,6 +67,16 @@
       state = State.OPEN;
     }
     reader.handle(bytes);
+    if (state != State.CLOSED) {
+      long partialBytes = reader.partialReplyBytes();
+      partialReplies.update(this, partialBytes > MAX_UNCOUNTED_BYTES ? partialBytes : 0);
+    }
+  }
+
+  /** Closes the connection, since the partial replies of all caches take too much memory. */
+  @Override
+  public void releaseBuffer() {
+    onProtocolError("reply: only a part received and partial replies exceed their memory");
   }
 
   /** Returns the number of commands in flight. */
@@ -165,6 +182,7 @@
   private void onClosed() {
     if (state != State.CLOSED) {
       state = State.CLOSED;
+      partialReplies.remove(this);
       pool.connectionClosed(this);
       List<CacheCommand> lostCommands = new ArrayList<>(inFlight.values());
       inFlight.clear();
--- a/gateway/src/main/java/org/amberpath/gateway/cache/CachePool.java
+++ b/gateway/src/main/java/org/amberpath/gateway/cache/CachePool.java
@@ -170,8 +170,7 @@
   private final class ConnectListener implements CacheConnector.Listener {
     @Override
     public void connected(NetSocket socket) {
-      connections.add(
-          new CacheConnection(CachePool.this, socket, bounds.maxBodyBytes(), nowNanos()));
+      connections.add(new CacheConnection(CachePool.this, socket, bounds, nowNanos()));
       CachePool.this.retryWaiting();
     }
 
--- a/gateway/src/main/java/org/amberpath/gateway/cache/ReplyReader.java
+++ b/gateway/src/main/java/org/amberpath/gateway/cache/ReplyReader.java
@@ -50,6 +50,9 @@
   /** Number of received bytes that do not form a complete header line or bulk string yet. */
   private long pendingBytes;
 
+  /** Number of bytes of the elements that the partial reply has so far. */
+  private long elementBytes;
+
   /**
    * Creates a reader of one stream.
    *
@@ -76,6 +79,11 @@
     return remainingElements > 0 || pendingBytes > 0;
   }
 
+  /** Returns the number of bytes of the last reply, if it has been received only in part. */
+  long partialReplyBytes() {
+    return elementBytes + pendingBytes;
+  }
+
   /** Parses received bytes and passes each reply that is now complete to the sink. */
   @Override
   public void handle(Buffer received) {
@@ -127,6 +135,7 @@
     parser.delimitedMode(LINE_END);
     parser.maxRecordSize(MAX_HEADER_BYTES); // Bounds a header line without end.
     elements.add(record.slice(0, length));
+    elementBytes += length;
     remainingElements--;
     if (remainingElements > 0) {
       state = State.BULK_HEADER;
@@ -135,6 +144,7 @@
     state = State.ARRAY_HEADER;
     List<Buffer> complete = elements;
     elements = new ArrayList<>(EXPECTED_ELEMENTS);
+    elementBytes = 0;
     sink.onReply(complete);
   }
 
--- a/gateway/src/main/java/org/amberpath/gateway/pipeline/CacheConnectionConfig.java
+++ b/gateway/src/main/java/org/amberpath/gateway/pipeline/CacheConnectionConfig.java
@@ -9,13 +9,15 @@
  * @param idleTimeoutNanos the time after which an idle connection is closed; well below the cache's
  *     own timeout, so that no request is sent while the cache closes the connection
  * @param maxBodyBytes the maximum length of a body that a cache returns
+ * @param maxPartialReplyBytes the maximum bytes of all partially received replies together
  */
 public record CacheConnectionConfig(
     int maxConnections,
     int maxCommandsPerConnection,
     long connectTimeoutNanos,
     long idleTimeoutNanos,
-    int maxBodyBytes) {
+    int maxBodyBytes,
+    long maxPartialReplyBytes) {
   /**
    * Returns the maximum number of connections to each cache: an equal part of {@link
    * #maxConnections}, at least 1. {@link #maxConnections} limits the total all the same.
--- a/gateway/src/main/java/org/amberpath/gateway/pipeline/CacheEndpoints.java
+++ b/gateway/src/main/java/org/amberpath/gateway/pipeline/CacheEndpoints.java
@@ -15,6 +15,7 @@
 import org.amberpath.gateway.cache.PoolBounds;
 import org.amberpath.gateway.discovery.Clock;
 import org.amberpath.gateway.settings.NumericAddress;
+import org.amberpath.gateway.transport.ReceiveBufferAccounting;
 import org.amberpath.routing.AttemptOutcome;
 import org.amberpath.routing.EndpointDescription;
 import org.amberpath.routing.EndpointListKind;
@@ -59,12 +60,16 @@
   private int maxConnectionsPerCache;
   private boolean hasEndpointList;
 
+  /** Bounds the bytes of partially received replies of all caches. */
+  private final ReceiveBufferAccounting partialReplies;
+
   CacheEndpoints(
       Vertx vertx, CacheConnectionConfig config, Clock clock, ProtocolErrorLog protocolErrors) {
     this.config = config;
     this.clock = clock;
     this.protocolErrors = protocolErrors;
     budget = new ConnectionBudget(config.maxConnections(), this::closeLongestIdle);
+    partialReplies = new ReceiveBufferAccounting(config.maxPartialReplyBytes());
     client =
         vertx.createNetClient(
             new NetClientOptions()
@@ -106,7 +111,8 @@
             config.maxCommandsPerConnection(),
             config.connectTimeoutNanos(),
             config.idleTimeoutNanos(),
-            config.maxBodyBytes());
+            config.maxBodyBytes(),
+            partialReplies);
     CachePool.Hooks hooks =
         new CachePool.Hooks(clock::nowNanos, routingStage::mayWrite, protocolErrors::add);
     return new CachePool(endpoint.id, endpoint.address, client, bounds, budget, hooks);
--- a/gateway/src/test/java/org/amberpath/gateway/cache/CachePoolTest.java
+++ b/gateway/src/test/java/org/amberpath/gateway/cache/CachePoolTest.java
@@ -13,6 +13,7 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import org.amberpath.gateway.transport.ReceiveBufferAccounting;
 import org.amberpath.routing.AttemptOutcome;
 import org.amberpath.routing.ResponseDetail;
 import org.junit.jupiter.api.Test;
@@ -37,7 +38,7 @@
               "c",
               SocketAddress.inetSocketAddress(1, "127.0.0.1"),
               client,
-              new PoolBounds(() -> 4, 1, 1, 1, 1),
+              new PoolBounds(() -> 4, 1, 1, 1, 1, new ReceiveBufferAccounting(Long.MAX_VALUE)),
               new ConnectionBudget(4, () -> {}),
               new CachePool.Hooks(() -> 0, () -> mayWrite, (from, reason) -> {}));
       pool.send(
@@ -78,7 +79,13 @@
                     "c",
                     SocketAddress.inetSocketAddress(cache.getLocalPort(), "127.0.0.1"),
                     client,
-                    new PoolBounds(() -> maxConnections, 100, 1, Long.MAX_VALUE, 1),
+                    new PoolBounds(
+                        () -> maxConnections,
+                        100,
+                        1,
+                        Long.MAX_VALUE,
+                        1,
+                        new ReceiveBufferAccounting(Long.MAX_VALUE)),
                     new ConnectionBudget(2, () -> {}),
                     new CachePool.Hooks(() -> 0, () -> true, (from, reason) -> {}));
             pool[0].send(newCommand(new byte[64 << 20]));
--- a/gateway/src/test/java/org/amberpath/gateway/cache/ReplyReaderTest.java
+++ b/gateway/src/test/java/org/amberpath/gateway/cache/ReplyReaderTest.java
@@ -15,6 +15,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.stream.Stream;
+import org.amberpath.gateway.transport.ReceiveBufferAccounting;
 import org.amberpath.routing.AttemptOutcome;
 import org.amberpath.routing.ResponseDetail;
 import org.junit.jupiter.api.Test;
@@ -188,7 +189,7 @@
             "c0",
             SocketAddress.inetSocketAddress(1, "127.0.0.1"),
             client,
-            new PoolBounds(() -> 1, 100, 1, 1, 100),
+            new PoolBounds(() -> 1, 100, 1, 1, 100, new ReceiveBufferAccounting(Long.MAX_VALUE)),
             new ConnectionBudget(1, () -> {}),
             new CachePool.Hooks(() -> 0, () -> true, (from, reason) -> {}));
     CacheCommand drained = newCommand();
