Bodies of requests in flight have a bound, past which a request is rejected at once

A whole request holds a body of up to 240,000 bytes until its attempts have ended, and only the limits on caches' concurrency kept the sum of them small.

Change: AdmissionControl rejects with Retry-After what would take the bodies of all requests in flight past 1/24 of the memory.

Measured: the new test of RequestMemoryTest fails without the check (the request is forwarded) and passes with it.

--- a/gateway/src/main/java/org/amberpath/gateway/GatewayOptions.java
+++ b/gateway/src/main/java/org/amberpath/gateway/GatewayOptions.java
@@ -47,6 +47,9 @@
    */
   private static final int PARTIAL_REPLIES_DIVISOR = 12;
 
+  /** The bodies of requests in flight may take at most the configured memory divided by this. */
+  private static final int REQUEST_BODIES_DIVISOR = 24;
+
   private static final int MAX_BODY_BYTES = 240_000;
 
   /** The upper bound of a class's viewer timeout, and its value where a class states none. */
@@ -196,6 +199,7 @@
         journalAddress.isPresent(),
         discoveryGraceNanos,
         maxInFlight,
+        memoryBytes / REQUEST_BODIES_DIVISOR,
         maxClientConnections(),
         cacheConnectionConfig());
   }
--- a/gateway/src/main/java/org/amberpath/gateway/pipeline/AdmissionControl.java
+++ b/gateway/src/main/java/org/amberpath/gateway/pipeline/AdmissionControl.java
@@ -5,6 +5,7 @@
 import org.amberpath.gateway.client.ClientConnection;
 import org.amberpath.gateway.client.DecodedRequest;
 import org.amberpath.gateway.settings.JsonRoutingConfig;
+import org.amberpath.routing.LoadShedder;
 import org.amberpath.routing.RequestDeadline;
 import org.amberpath.routing.SocketReads;
 
@@ -12,14 +13,17 @@
  * Second stage of the pipeline: admits a decoded request and passes it on to the {@link
  * RoutingStage}, or answers it at once. A request of an unknown traffic class, or under a reference
  * that is already in flight, is rejected as invalid. A request above the limit on unanswered
- * requests, or with too little time left for an attempt, is rejected as overload.
+ * requests or on the bytes of their bodies, or with too little time left for an attempt, is
+ * rejected as overload.
  */
 final class AdmissionControl {
   private static final Logger LOG = Logger.getLogger(AdmissionControl.class.getName());
 
   private final JsonRoutingConfig config;
   private final int maxInFlight;
+  private final long maxBodyBytes;
   private final InFlightRequests inFlight;
+  private final LoadShedder loadShedder;
   private final RoutingStage routingStage;
 
   /** Records admitted requests; null where the gateway makes no synthetic requests. */
@@ -28,14 +32,12 @@
   /** The latest backlog that an event loop lag has left; null before the first one. */
   private SocketReads.Backlog lastBacklog;
 
-  AdmissionControl(
-      JsonRoutingConfig config,
-      int maxInFlight,
-      InFlightRequests inFlight,
-      RoutingStage routingStage) {
-    this.config = config;
-    this.maxInFlight = maxInFlight;
-    this.inFlight = inFlight;
+  AdmissionControl(PipelineConfig config, PipelineContext context, RoutingStage routingStage) {
+    this.config = config.routing();
+    maxInFlight = config.maxInFlight();
+    maxBodyBytes = config.maxRequestBodyBytes();
+    inFlight = context.inFlight();
+    loadShedder = context.loadShedder();
     this.routingStage = routingStage;
   }
 
@@ -70,6 +72,8 @@
     } else if (inFlight.unansweredCount() >= maxInFlight
         || RequestDeadline.isTooShort(deadlineNanos - nowNanos)) {
       client.sendOverloaded(messageId, 0);
+    } else if (inFlight.bodyBytes() + decoded.body().length() > maxBodyBytes) {
+      client.sendOverloaded(messageId, loadShedder.retryAfterNanos());
     } else {
       ClientRequest request =
           new ClientRequest(
--- a/gateway/src/main/java/org/amberpath/gateway/pipeline/InFlightRequests.java
+++ b/gateway/src/main/java/org/amberpath/gateway/pipeline/InFlightRequests.java
@@ -20,6 +20,7 @@
   private final Set<String> requestIds = new HashSet<>();
   private long lastId;
   private int unansweredCount;
+  private long bodyBytes;
 
   /** Returns the request with this id; null if it is finished. */
   ClientRequest find(long id) {
@@ -42,6 +43,7 @@
   /** Adds a request. */
   void add(ClientRequest request) {
     byId.put(request.id, request);
+    bodyBytes += request.decoded.body().length();
     requestIds.add(request.requestId);
     if (request.isSynthetic()) {
       return; // No client waits for its response.
@@ -57,6 +59,11 @@
     return unansweredCount;
   }
 
+  /** Returns the length of the bodies of all requests in flight together. */
+  long bodyBytes() {
+    return bodyBytes;
+  }
+
   /**
    * Returns the number of requests in flight, including answered ones whose attempts have not
    * ended.
@@ -132,7 +139,9 @@
    */
   void removeIfFinished(ClientRequest request) {
     if (request.answered && request.pendingAttempts == 0 && request.pendingEvents == 0) {
-      byId.remove(request.id);
+      if (byId.remove(request.id) != null) {
+        bodyBytes -= request.decoded.body().length();
+      }
       requestIds.remove(request.requestId);
     }
   }
--- a/gateway/src/main/java/org/amberpath/gateway/pipeline/RequestPipeline.java
+++ b/gateway/src/main/java/org/amberpath/gateway/pipeline/RequestPipeline.java
@@ -45,8 +45,7 @@
     routingStage = new RoutingStage(context, router, attemptSender, responseWriter);
     attemptSender.setRoutingStage(routingStage);
     endpoints.setRoutingStage(routingStage);
-    admissionControl =
-        new AdmissionControl(config.routing(), config.maxInFlight(), inFlight, routingStage);
+    admissionControl = new AdmissionControl(config, context, routingStage);
     receiver =
         new RequestReceiver(
             context,
--- a/gateway/src/test/java/org/amberpath/gateway/RequestMemoryTest.java
+++ b/gateway/src/test/java/org/amberpath/gateway/RequestMemoryTest.java
@@ -9,6 +9,7 @@
 import org.amberpath.gateway.client.ClientConnection;
 import org.amberpath.gateway.testsupport.ClientAnswer;
 import org.amberpath.gateway.testsupport.GatewayFixture;
+import org.amberpath.gateway.testsupport.ReceivedCommand;
 import org.amberpath.gateway.testsupport.TestClient;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -21,6 +22,9 @@
 
   private static final int RECEIVED_BYTES = 200_000;
 
+  /** The bodies of the maximum length that fit into 2.7 MB. */
+  private static final int MAX_BODIES_IN_FLIGHT = 11;
+
   /** Guards against half requests of hundreds of clients that exhaust the heap. */
   @Test
   void partialRequestsOfManyClientsAreDiscardedAndRejectedOnceTheyAreComplete() throws Exception {
@@ -51,4 +55,30 @@
     cache.nextCommand().replyOk("next");
     assertEquals("next", text(senders.get(0).receive()));
   }
+
+  /** Guards against large requests of many clients that wait for caches and exhaust the heap. */
+  @Test
+  void requestWhoseBodyExceedsTheMemoryForBodiesInFlightIsRejectedUntilOthersHaveEnded()
+      throws Exception {
+    byte[] body = new byte[ClientConnection.MAX_BODY_BYTES];
+    List<ReceivedCommand> commands = new ArrayList<>();
+    for (int number = 1; number <= MAX_BODIES_IN_FLIGHT; number++) {
+      client.send(
+          TestClient.encodeRequest(
+              number, "parts", TestClient.requestFields(number, 4000, number), body));
+      commands.add(cache.nextCommand());
+    }
+    TestClient other = testbed.client();
+
+    other.send(TestClient.encodeRequest(1, "parts", TestClient.requestFields(90, 4000, 1), body));
+    ClientAnswer rejected = other.receive();
+    assertEquals("Overloaded", rejected.error());
+    assertTrue(rejected.fields().containsKey("cooldown"));
+
+    commands.get(0).replyOk("done");
+    assertEquals("done", text(client.receive()));
+    other.send(TestClient.encodeRequest(2, "parts", TestClient.requestFields(91, 4000, 1), body));
+    cache.nextCommand().replyOk("admitted");
+    assertEquals("admitted", text(other.receive()));
+  }
 }
