--- a/review/standins-2/Registry.java
+++ b/review/standins-2/Registry.java
@@ -83,6 +83,27 @@
     }
   }
 
+  /** Returns the values of all keys that begin with this text, by key. */
+  public java.util.Map<String, String> read(String prefix) throws IOException {
+    String first = "amberpath/" + prefix;
+    String end = first.substring(0, first.length() - 1) + (char) (first.charAt(first.length() - 1) + 1);
+    String answer =
+        post("/v3/kv/range", "{\"key\":\"" + base64(first) + "\",\"range_end\":\"" + base64(end) + "\"}");
+    java.util.Map<String, String> values = new java.util.TreeMap<>();
+    for (String entry : answer.split("\\{")) {
+      java.util.regex.Matcher key = java.util.regex.Pattern.compile("\"key\":\"([^\"]*)\"").matcher(entry);
+      java.util.regex.Matcher value =
+          java.util.regex.Pattern.compile("\"value\":\"([^\"]*)\"").matcher(entry);
+      if (key.find() && value.find()) {
+        values.put(
+            new String(Base64.getDecoder().decode(key.group(1)), StandardCharsets.UTF_8)
+                .substring("amberpath/".length()),
+            new String(Base64.getDecoder().decode(value.group(1)), StandardCharsets.UTF_8));
+      }
+    }
+    return values;
+  }
+
   private static String operation(String key, String value) {
     return "{\"request_put\":{\"key\":\"" + base64("amberpath/" + key) + "\",\"value\":\""
         + base64(value) + "\"}}";
@@ -120,6 +141,9 @@
     /** By how long answers are held back, in milliseconds. */
     public volatile long answerDelayMillis;
 
+    /** Is told what a client sends before it is passed on, and may hold it back. */
+    public volatile java.util.function.Consumer<String> onRequest = text -> {};
+
     Proxy(int target) throws IOException {
       this.target = target;
       server = new ServerSocket(0, 256, InetAddress.getByName("127.0.0.1"));
@@ -184,6 +208,9 @@
           while (silent || System.currentTimeMillis() < due) {
             Thread.sleep(1);
           }
+          if (!isAnswer) {
+            onRequest.accept(new String(bytes, 0, count, StandardCharsets.ISO_8859_1));
+          }
           to.getOutputStream().write(bytes, 0, count);
           to.getOutputStream().flush();
         }
