--- a/review/standins-2/World.java
+++ b/review/standins-2/World.java
@@ -332,6 +332,16 @@
         // Nothing is left to do.
       }
     }
+
+    /** Resets the connection. */
+    public void reset() {
+      try {
+        socket.setSoLinger(true, 0);
+      } catch (IOException e) {
+        // It is closed already.
+      }
+      close();
+    }
   }
 
   /** A cache, parent or origin by the RESP protocol of the protocol page. */
