--- a/review/standins-2/World.java
+++ b/review/standins-2/World.java
@@ -51,12 +51,20 @@
           });
 
   private static PrintWriter record;
+  private static Path temporary;
   private static final List<Process> processes = new CopyOnWriteArrayList<>();
 
   private World() {}
 
-  /** Opens the record, and makes sure that started processes end with this one. */
+  /**
+   * Opens the record, makes sure that started processes end with this one, and has temporary files
+   * made in a folder of this run, which {@link #finish} removes.
+   */
   public static void open(String folder) throws IOException {
+    temporary =
+        Path.of(System.getProperty("java.io.tmpdir"), "review-2-" + ProcessHandle.current().pid());
+    Files.createDirectories(temporary);
+    System.setProperty("java.io.tmpdir", temporary.toString());
     record = new PrintWriter(Files.newBufferedWriter(Path.of(folder, "record.txt")), false);
     Runtime.getRuntime().addShutdownHook(new Thread(World::killAll));
     log("trouble=" + TROUBLE);
@@ -70,6 +78,11 @@
   /** Ends the case: ends all processes, closes the record and exits. */
   public static void finish(int code, String verdict) {
     killAll();
+    try (var files = Files.walk(temporary)) {
+      files.sorted(java.util.Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+    } catch (IOException e) {
+      log("the temporary folder is not removed: " + e);
+    }
     synchronized (World.class) {
       record.println((System.currentTimeMillis() - START) + " result=" + code + " " + verdict);
       record.flush();
@@ -148,7 +161,7 @@
     public void signal(String signal) {
       log(name + " signal " + signal);
       try {
-        new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+        new ProcessBuilder("/bin/sh", "-c", "kill -" + signal + " " + process.pid()).start().waitFor();
       } catch (IOException | InterruptedException e) {
         throw new IllegalStateException(e);
       }
