--- a/gateway/src/main/java/org/amberpath/gateway/client/ClientConnection.java
+++ b/gateway/src/main/java/org/amberpath/gateway/client/ClientConnection.java
@@ -6,10 +6,10 @@
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
 import java.io.IOException;
-import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.amberpath.gateway.transport.Channels;
 import org.amberpath.gateway.transport.ReceiveBufferAccounting;
+import org.amberpath.routing.ResponseBufferLimit;
 
 /**
  * The server side of one client's MessagePack-RPC connection. Responses are sent in the order in
@@ -23,13 +23,6 @@
 
   private static final int MAX_MESSAGE_BYTES = MAX_BODY_BYTES + 16_384;
 
-  /**
-   * How long the socket stays open for reading by the client after the last response is written.
-   */
-  private static final long LINGER_MILLIS = 300;
-
-  private static final long LINGER_NANOS = TimeUnit.MILLISECONDS.toNanos(LINGER_MILLIS);
-
   /** Maximum time for writing the remaining responses of a connection that is closing. */
   private static final long FLUSH_TIMEOUT_MILLIS = 2000;
 
@@ -39,6 +32,7 @@
   private final MessageReader reader;
   private final RequestSession session;
   private final WriteBufferAccounting accounting;
+  private final ResponseStream responses;
   private ClientConnectionState state = ClientConnectionState.OPEN;
 
   /**
@@ -47,12 +41,10 @@
    */
   private boolean decodingRead;
 
-  private boolean responseSent;
-  private long lastActivityNanos;
-  private long lastWriteNanos;
+  /** Whether nothing is read until the client has read some of its responses. */
+  private boolean readingPaused;
 
-  /** Response bytes not yet written to the socket; maintained by {@link WriteBufferAccounting}. */
-  long unwrittenBytes;
+  private long lastActivityNanos;
 
   /**
    * Installs the handlers of an accepted socket and starts to decode what the client sends.
@@ -72,6 +64,7 @@
     this.accounting = accounting;
     this.clock = clock;
     this.handler = handler;
+    responses = new ResponseStream(this, socket, accounting, clock);
     session = new RequestSession(this, handler);
     reader = new MessageReader(MAX_MESSAGE_BYTES, partialMessages, this);
     lastActivityNanos = clock.getAsLong();
@@ -88,8 +81,10 @@
   private void onRead(Buffer bytes) {
     boolean startsMessage = !reader.hasPartialMessage();
     decodingRead = true;
+    responses.startJoining();
     reader.handle(bytes);
     decodingRead = false;
+    responses.writeJoined();
     if (session.hasReceivedMessage() && (startsMessage || !reader.hasPartialMessage())) {
       lastActivityNanos = clock.getAsLong();
     }
@@ -97,6 +92,26 @@
       // Deferred until here, so that each request received in the same read has got its error.
       closeOrFlush();
     }
+    updateReading();
+  }
+
+  /**
+   * Stops reading while the client leaves too many responses unread, and resumes afterwards. The
+   * channel waits to write then, which shows a connection that the client has closed.
+   */
+  private void updateReading() {
+    boolean permitted =
+        ResponseBufferLimit.permitsReading(responses.unwrittenCount(), !readingPaused);
+    if (state == ClientConnectionState.OPEN && permitted == readingPaused) {
+      readingPaused = !permitted;
+      lastActivityNanos = clock.getAsLong();
+      context().channel().config().setAutoRead(permitted);
+    }
+  }
+
+  /** Returns whether the client can't send anything before it has read some of its responses. */
+  public boolean isReadingPaused() {
+    return readingPaused;
   }
 
   /** Returns whether the last message has been received only in part. */
@@ -127,7 +142,8 @@
 
   /**
    * Returns the time from which {@link #isAwaitingMessage} has been true, if it is; otherwise the
-   * time of the last message or response. In nanoseconds of the connection's clock.
+   * time of the last message or response. While reading is paused, the time at which the client
+   * last read a response. In nanoseconds of the connection's clock.
    */
   public long lastActivityNanos() {
     return lastActivityNanos;
@@ -217,7 +233,7 @@
     if (!session.removeInFlight(messageId)) {
       return;
     }
-    if (accounting.permitsBody(this, body.length())) {
+    if (accounting.permitsBody(responses, body.length())) {
       send(ResponseEncoder.body(messageId, body));
     } else {
       handler.requestShed(
@@ -225,7 +241,7 @@
           "reads too slowly: response of "
               + body.length()
               + " bytes not sent, "
-              + unwrittenBytes
+              + responses.unwrittenBytes
               + " bytes unwritten");
       send(ResponseEncoder.internalError(messageId, "too many responses are unread"));
     }
@@ -264,40 +280,26 @@
     if (session.hasReceivedMessage() && !reader.hasPartialMessage()) {
       lastActivityNanos = clock.getAsLong();
     }
-    if (!state.sendsResponses()) {
-      return;
-    }
-    accounting.add(this, response.length()); // Before the write, which may complete synchronously.
-    if (state.sendsResponses()) {
-      responseSent = true;
-      socket.write(response).onComplete(done -> onWritten(response.length()));
-    } else {
-      onWritten(response.length());
-    }
+    responses.send(response);
   }
 
-  private void onWritten(long bytes) {
-    accounting.remove(this, bytes);
-    lastWriteNanos = clock.getAsLong();
+  /** Called by the response stream when responses were written to the socket. */
+  void responsesWritten() {
+    if (readingPaused) {
+      lastActivityNanos = clock.getAsLong();
+    }
     halfCloseWhenFlushed();
+    updateReading();
   }
 
   /** Returns whether all responses have been written to the socket. */
   public boolean isFlushed() {
-    return unwrittenBytes == 0;
-  }
-
-  /**
-   * Returns whether the client has had {@link #LINGER_MILLIS} to read its last response, or has
-   * been sent none, so that an immediate close loses no response.
-   */
-  public boolean hasLingered() {
-    return isFlushed() && (!responseSent || clock.getAsLong() - lastWriteNanos > LINGER_NANOS);
+    return responses.isFlushed();
   }
 
   /** Closes immediately if no response can still be in transit, otherwise after flushing. */
   public void closeOrFlush() {
-    if (hasLingered()) {
+    if (responses.hasLingered()) {
       // Not waiting for such a client saves CPU and frees its descriptor.
       close();
     } else {
@@ -315,6 +317,7 @@
   public void closeAfterFlush() {
     if (state.sendsResponses()) {
       stopReading();
+      responses.writeJoined();
       transitionTo(ClientConnectionState.FLUSHING);
       halfCloseWhenFlushed();
       if (state == ClientConnectionState.FLUSHING) {
@@ -337,7 +340,7 @@
     if (state == ClientConnectionState.FLUSHING && isFlushed()) {
       transitionTo(ClientConnectionState.HALF_CLOSED);
       Channels.shutdownOutput((DuplexChannel) context().channel());
-      scheduleClose(LINGER_MILLIS);
+      scheduleClose(ResponseStream.LINGER_MILLIS);
     }
   }
 
@@ -364,6 +367,7 @@
     state = next;
     if (previous.sendsResponses() && !next.sendsResponses()) {
       reader.stop();
+      responses.stop();
       session.dropAll();
       handler.connectionEnded(this);
     }
--- a/gateway/src/main/java/org/amberpath/gateway/client/ClientConnections.java
+++ b/gateway/src/main/java/org/amberpath/gateway/client/ClientConnections.java
@@ -207,13 +207,18 @@
 
   /**
    * Closes connections whose clients have sent nothing, or only part of a message, for longer than
-   * {@link #MESSAGE_TIMEOUT_NANOS}.
+   * {@link #MESSAGE_TIMEOUT_NANOS}, and those whose clients have read nothing for that time and
+   * leave so many responses unread that they are not read from.
    */
   public void sweep() {
     long nowNanos = clock.getAsLong();
     for (ClientConnection connection : List.copyOf(openConnections)) {
-      if (connection.isAwaitingMessage()
-          && nowNanos - connection.lastActivityNanos() > MESSAGE_TIMEOUT_NANOS) {
+      if (nowNanos - connection.lastActivityNanos() <= MESSAGE_TIMEOUT_NANOS) {
+        continue;
+      }
+      if (connection.isReadingPaused()) {
+        connection.abort("reads no response");
+      } else if (connection.isAwaitingMessage()) {
         connection.onProtocolError(
             (connection.hasPartialMessage() ? "message: only a part" : "message: nothing")
                 + " received, expected a complete message within "
--- a/gateway/src/main/java/org/amberpath/gateway/client/WriteBufferAccounting.java
+++ b/gateway/src/main/java/org/amberpath/gateway/client/WriteBufferAccounting.java
@@ -15,15 +15,15 @@
   private final LongSupplier clock;
 
   /**
-   * The connections with unwritten bytes and the clock time at which each last made progress, the
-   * one without progress for longest first.
+   * The streams with unwritten bytes and the clock time at which each last made progress, the one
+   * without progress for longest first.
    */
-  private final Map<ClientConnection, Long> lastProgressNanos = new LinkedHashMap<>();
+  private final Map<ResponseStream, Long> lastProgressNanos = new LinkedHashMap<>();
 
   private long totalBytes;
 
   /**
-   * Creates the accounting of connections that have no unwritten bytes.
+   * Creates the accounting of streams that have no unwritten bytes.
    *
    * @param clock monotonic time in nanoseconds
    */
@@ -33,12 +33,11 @@
   }
 
   /**
-   * Returns whether the body of a response may be written to a connection. Clients that have
-   * stopped reading are disconnected if their memory is needed for it, the connection's own client
-   * among them.
+   * Returns whether the body of a response may be written to a stream. Clients that have stopped
+   * reading are disconnected if their memory is needed for it, the stream's own client among them.
    */
-  boolean permitsBody(ClientConnection connection, long bodyBytes) {
-    while (!limit.permitsBody(connection.unwrittenBytes, totalBytes, bodyBytes)) {
+  boolean permitsBody(ResponseStream stream, long bodyBytes) {
+    while (!limit.permitsBody(stream.unwrittenBytes, totalBytes, bodyBytes)) {
       if (!abortStalledConnection()) {
         return false;
       }
@@ -50,7 +49,7 @@
     if (lastProgressNanos.isEmpty()) {
       return false;
     }
-    Map.Entry<ClientConnection, Long> first = lastProgressNanos.entrySet().iterator().next();
+    Map.Entry<ResponseStream, Long> first = lastProgressNanos.entrySet().iterator().next();
     long stalledNanos = clock.getAsLong() - first.getValue();
     if (!limit.isStalled(stalledNanos)) {
       return false;
@@ -60,38 +59,38 @@
   }
 
   /**
-   * Adds bytes that are about to be written. If all connections together exceed the bound, the one
-   * without progress for longest is aborted.
+   * Adds bytes of memory that a response or its write takes. If all streams together exceed the
+   * bound, the one without progress for longest is aborted.
    */
-  void add(ClientConnection connection, long bytes) {
+  void add(ResponseStream stream, long bytes) {
     totalBytes += bytes;
-    connection.unwrittenBytes += bytes;
-    lastProgressNanos.putIfAbsent(connection, clock.getAsLong());
+    stream.unwrittenBytes += bytes;
+    lastProgressNanos.putIfAbsent(stream, clock.getAsLong());
     if (limit.isExceeded(totalBytes)) {
-      Map.Entry<ClientConnection, Long> first = lastProgressNanos.entrySet().iterator().next();
+      Map.Entry<ResponseStream, Long> first = lastProgressNanos.entrySet().iterator().next();
       abort(first.getKey(), clock.getAsLong() - first.getValue());
     }
   }
 
-  private void abort(ClientConnection connection, long stalledNanos) {
-    connection.abort(
+  private void abort(ResponseStream stream, long stalledNanos) {
+    stream.abort(
         "reads too slowly: "
-            + connection.unwrittenBytes
+            + stream.unwrittenBytes
             + " response bytes unwritten, none written for "
             + TimeUnit.NANOSECONDS.toMillis(stalledNanos)
             + " ms, of all clients "
             + totalBytes);
     // Closing fails the pending writes, which removes their bytes.
-    lastProgressNanos.remove(connection);
+    lastProgressNanos.remove(stream);
   }
 
-  /** Subtracts bytes that have been written to the socket or dropped. */
-  void remove(ClientConnection connection, long bytes) {
+  /** Subtracts bytes of responses that have been written to the socket or dropped. */
+  void remove(ResponseStream stream, long bytes) {
     totalBytes -= bytes;
-    connection.unwrittenBytes -= bytes;
-    lastProgressNanos.remove(connection);
-    if (connection.unwrittenBytes > 0) {
-      lastProgressNanos.put(connection, clock.getAsLong());
+    stream.unwrittenBytes -= bytes;
+    lastProgressNanos.remove(stream);
+    if (stream.unwrittenBytes > 0) {
+      lastProgressNanos.put(stream, clock.getAsLong());
     }
   }
 }
--- a/routing/src/main/java/org/amberpath/routing/ResponseBufferLimit.java
+++ b/routing/src/main/java/org/amberpath/routing/ResponseBufferLimit.java
@@ -6,6 +6,18 @@
  * memory, and any number of clients that do not read leave a part of it to the others.
  */
 public final class ResponseBufferLimit {
+  /** Heap that one pending write takes beside its bytes: its buffer, promise and queue entry. */
+  public static final long WRITE_OVERHEAD_BYTES = 512;
+
+  /**
+   * Unwritten responses of one client above which nothing more is read from it: twice the requests
+   * that it may have in flight. A client that keeps to that bound never reaches this one.
+   */
+  private static final int MAX_UNWRITTEN_RESPONSES = 64;
+
+  /** Unwritten responses of one client at which it is read from again. */
+  private static final int RESUME_UNWRITTEN_RESPONSES = 32;
+
   /** A client that has read nothing for this time is disconnected when its memory is needed. */
   private static final long STALL_TIMEOUT_NANOS = 1_000_000_000L;
 
@@ -27,6 +39,18 @@
     return clientBytes + bodyBytes <= maxTotalBytes - totalBytes;
   }
 
+  /**
+   * Returns whether further requests may be read from a client. Guards against a client that sends
+   * requests and reads no response: the connection pushes back on it, and what it has not been
+   * answered yet stays in the kernel's buffers.
+   *
+   * @param unwrittenResponses the number of responses that the client leaves unread
+   * @param reading whether the client is being read from
+   */
+  public static boolean permitsReading(int unwrittenResponses, boolean reading) {
+    return unwrittenResponses <= (reading ? MAX_UNWRITTEN_RESPONSES : RESUME_UNWRITTEN_RESPONSES);
+  }
+
   /** Returns whether all clients together exceed the bound, so that one has to be disconnected. */
   public boolean isExceeded(long totalBytes) {
     return totalBytes > maxTotalBytes;
