One client's small requests no longer keep the event loop from others

Cause: Netty reads up to 16 times 64 KB from one socket in one turn of the event loop, which is tens of thousands of small requests.

Change: ReadBudget allows 64 messages of one client in a turn, then short reads until it sends less; BudgetedReads carries it out.

Evidence: requestIsReadBeforeAFloodThatArrivedEarlier fails on (13,484 requests of the flood handled before the other one) and passes with the change (bound 1,000).

--- a/gateway/src/main/java/org/amberpath/gateway/client/ClientConnection.java
+++ b/gateway/src/main/java/org/amberpath/gateway/client/ClientConnection.java
@@ -7,8 +7,10 @@
 import io.vertx.core.net.NetSocket;
 import java.io.IOException;
 import java.util.function.LongSupplier;
+import org.amberpath.gateway.transport.BudgetedReads;
 import org.amberpath.gateway.transport.Channels;
 import org.amberpath.gateway.transport.ReceiveBufferAccounting;
+import org.amberpath.routing.ReadBudget;
 import org.amberpath.routing.ResponseBufferLimit;
 
 /**
@@ -33,6 +35,7 @@
   private final RequestSession session;
   private final WriteBufferAccounting accounting;
   private final ResponseStream responses;
+  private final ReadBudget readBudget = new ReadBudget();
   private ClientConnectionState state = ClientConnectionState.OPEN;
 
   /**
@@ -68,6 +71,7 @@
     session = new RequestSession(this, handler);
     reader = new MessageReader(MAX_MESSAGE_BYTES, partialMessages, this);
     lastActivityNanos = clock.getAsLong();
+    BudgetedReads.install(context().channel(), readBudget);
     socket.handler(
         bytes -> {
           if (state.sendsResponses()) {
@@ -151,6 +155,7 @@
 
   @Override
   public boolean onMessage(byte[] bytes, int start, int end) {
+    readBudget.messageHandled();
     try {
       session.handle(bytes, start, end);
     } catch (IOException | RuntimeException e) {
--- a/gateway/src/test/java/org/amberpath/gateway/ClientConnectionCloseTest.java
+++ b/gateway/src/test/java/org/amberpath/gateway/ClientConnectionCloseTest.java
@@ -50,6 +50,14 @@
   private static final int MAX_UNWRITTEN_BYTES = 1 << 20;
   private static final int MAX_PARTIAL_BYTES = 1 << 20;
 
+  /** Number of requests that fill the kernel's buffers. */
+  private static final int FLOOD_REQUESTS = 60_000;
+
+  private static final long FLOOD_MILLIS = 200;
+
+  /** A turn of the event loop handles a few dozen requests of one client. */
+  private static final int MAX_READ_BEFORE_OTHERS = 1000;
+
   /** Number of the part whose body exceeds {@link #MAX_UNWRITTEN_BYTES}. */
   private static final int LARGE_PART = 13;
 
@@ -71,6 +79,11 @@
   /** Number of requests read. */
   private final AtomicInteger requestsRead = new AtomicInteger();
 
+  /** Number of status requests read, and that number when the latest other request was read. */
+  private final AtomicInteger statusRead = new AtomicInteger();
+
+  private final AtomicInteger statusReadBefore = new AtomicInteger();
+
   private Thread eventLoopThread;
   private int port;
 
@@ -119,6 +132,7 @@
   @Override
   public void requestReceived(ClientConnection connection, long messageId, DecodedRequest request) {
     requestsRead.incrementAndGet();
+    statusReadBefore.set(statusRead.get());
     if (request.partNumber() == LARGE_PART) {
       connection.sendBody(messageId, Buffer.buffer(new byte[2 * MAX_UNWRITTEN_BYTES]));
     }
@@ -135,6 +149,7 @@
 
   @Override
   public boolean isReady() {
+    statusRead.incrementAndGet();
     return true;
   }
 
@@ -192,6 +207,47 @@
     return stream.toByteArray();
   }
 
+  /** Guards against responses that come late while one client's requests keep the event loop. */
+  @Test
+  void requestIsReadBeforeAFloodThatArrivedEarlier() throws Exception {
+    TestClient flooding = client();
+    TestClient other = client();
+    assertTrue(flooding.requestStatus().isReady());
+    assertTrue(other.requestStatus().isReady());
+    byte[] status = TestClient.encodeRequest(1, "status", Map.of(), null);
+    byte[] flood = new byte[FLOOD_REQUESTS * status.length];
+    for (int number = 0; number < FLOOD_REQUESTS; number++) {
+      System.arraycopy(status, 0, flood, number * status.length, status.length);
+    }
+    CountDownLatch resume = new CountDownLatch(1);
+    CountDownLatch stopped = new CountDownLatch(1);
+    vertx.runOnContext(
+        turn -> {
+          stopped.countDown();
+          await(resume);
+        });
+    await(stopped);
+    Thread sending = new Thread(() -> sendUntilClosed(flooding, flood));
+    sending.start();
+    Thread.sleep(FLOOD_MILLIS); // The flood arrives while the event loop lags.
+
+    other.send(encodePartRequest(1));
+    resume.countDown();
+
+    assertEquals(1, other.receive().messageId());
+    assertTrue(statusReadBefore.get() < MAX_READ_BEFORE_OTHERS, statusReadBefore.toString());
+    flooding.close();
+    sending.join();
+  }
+
+  private static void sendUntilClosed(TestClient client, byte[] bytes) {
+    try {
+      client.send(bytes);
+    } catch (IOException e) {
+      // Expected at the end of the test.
+    }
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"c0", "93020000", "9502c0c0c0c0", "940001c0c0"})
   void requestsReceivedWithAnInvalidMessageGetAnErrorEach(String invalidMessage) throws Exception {
