Requests that are cancelled at once no longer pile up before the router

Cause: the bounds on open requests count unanswered ones; a cancelled one is answered, and held until the router was told of it, 32 events between two reads of the sockets.

Change: RoutingQueueLimit: at most 64 requests of a client and 4,096 of all wait to be routed; past it a request is rejected as overloaded.

--- a/gateway/src/main/java/org/amberpath/gateway/pipeline/AdmissionControl.java
+++ b/gateway/src/main/java/org/amberpath/gateway/pipeline/AdmissionControl.java
@@ -13,8 +13,8 @@
  * Second stage of the pipeline: admits a decoded request and passes it on to the {@link
  * RoutingStage}, or answers it at once. A request of an unknown traffic class, or under a reference
  * that is already in flight, is rejected as invalid. A request above the limit on unanswered
- * requests or on the bytes of their bodies, or with too little time left for an attempt, is
- * rejected as overload.
+ * requests, on the bytes of their bodies or on those that wait to be routed, or with too little
+ * time left for an attempt, is rejected as overload.
  */
 final class AdmissionControl {
   private static final Logger LOG = Logger.getLogger(AdmissionControl.class.getName());
@@ -72,7 +72,8 @@
     } else if (inFlight.unansweredCount() >= maxInFlight
         || RequestDeadline.isTooShort(deadlineNanos - nowNanos)) {
       client.sendOverloaded(messageId, 0);
-    } else if (inFlight.bodyBytes() + decoded.body().length() > maxBodyBytes) {
+    } else if (inFlight.bodyBytes() + decoded.body().length() > maxBodyBytes
+        || !inFlight.mayQueue(client)) {
       client.sendOverloaded(messageId, loadShedder.retryAfterNanos());
     } else {
       ClientRequest request =
--- a/gateway/src/main/java/org/amberpath/gateway/pipeline/InFlightRequests.java
+++ b/gateway/src/main/java/org/amberpath/gateway/pipeline/InFlightRequests.java
@@ -1,12 +1,14 @@
 package org.amberpath.gateway.pipeline;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.amberpath.gateway.client.ClientConnection;
+import org.amberpath.routing.RoutingQueueLimit;
 import org.amberpath.routing.SocketReads;
 
 /**
@@ -18,6 +20,11 @@
   private final Map<Long, ClientRequest> byId = new LinkedHashMap<>();
   private final Map<ClientConnection, Map<Long, ClientRequest>> unanswered = new LinkedHashMap<>();
   private final Set<String> requestIds = new HashSet<>();
+
+  /** The number of requests of each client with queued events; bounded by the connections. */
+  private final Map<ClientConnection, Integer> waitingOfClient = new HashMap<>();
+
+  private int waitingCount;
   private long lastId;
   private int unansweredCount;
   private long bodyBytes;
@@ -59,6 +66,29 @@
     return unansweredCount;
   }
 
+  /** Returns whether another request of a client may wait to be routed. */
+  boolean mayQueue(ClientConnection client) {
+    return RoutingQueueLimit.permits(waitingOfClient.getOrDefault(client, 0), waitingCount);
+  }
+
+  /** Records that an event of a request was queued for the router. */
+  void eventQueued(ClientRequest request) {
+    if (request.pendingEvents++ == 0 && !request.isSynthetic()) {
+      waitingCount++;
+      waitingOfClient.merge(request.client, 1, Integer::sum);
+    }
+  }
+
+  /** Records that an event of a request was passed to the router, or never will be. */
+  void eventReplayed(ClientRequest request) {
+    if (--request.pendingEvents == 0 && !request.isSynthetic()) {
+      waitingCount--;
+      waitingOfClient.computeIfPresent(
+          request.client, (client, count) -> count == 1 ? null : count - 1);
+    }
+    removeIfFinished(request);
+  }
+
   /** Returns the length of the bodies of all requests in flight together. */
   long bodyBytes() {
     return bodyBytes;
--- a/gateway/src/main/java/org/amberpath/gateway/pipeline/RoutingStage.java
+++ b/gateway/src/main/java/org/amberpath/gateway/pipeline/RoutingStage.java
@@ -130,7 +130,7 @@
   void enqueue(ClientRequest request, Consumer<RoutingEventHandler> event) {
     requestEvents.add(new QueuedEvent(request, event));
     if (request != null) {
-      request.pendingEvents++;
+      context.inFlight().eventQueued(request);
     }
     scheduleBatch();
   }
@@ -305,8 +305,7 @@
   /** Records that an event of a request was passed to the router, or never will be. */
   private void eventReplayed(ClientRequest request) {
     if (request != null) {
-      request.pendingEvents--;
-      context.inFlight().removeIfFinished(request);
+      context.inFlight().eventReplayed(request);
     }
   }
 
--- a/gateway/src/test/java/org/amberpath/gateway/ClientFloodTest.java
+++ b/gateway/src/test/java/org/amberpath/gateway/ClientFloodTest.java
@@ -10,9 +10,12 @@
 import java.util.Map;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.amberpath.gateway.testsupport.GatewayFixture;
 import org.amberpath.gateway.testsupport.GatewayTestbed;
 import org.amberpath.gateway.testsupport.TestClient;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -26,6 +29,12 @@
   /** Their responses exceed both the kernel's buffers and the memory for unread responses. */
   private static final int UNREAD_REQUESTS = 1_500_000;
 
+  private static final int CANCELLED_REQUESTS = 40_000;
+  private static final int STATUS_ID = 1_000_000;
+
+  /** Twice the requests of one client that may wait to be routed, and some more. */
+  private static final int MAX_HELD = 300;
+
   /** Guards against small responses, unread by their client, that exhaust the heap. */
   @ParameterizedTest
   @ValueSource(strings = {STATUS, "unknown-class"})
@@ -48,6 +57,44 @@
     }
   }
 
+  /** Guards against requests that are cancelled at once, wait to be routed and pile up. */
+  @Test
+  void requestsThatAreCancelledAtOnceDoNotPileUp() throws Exception {
+    testbed.handleCommands(cache, command -> command.replyOk("part"));
+    AtomicInteger maxHeld = new AtomicInteger();
+    AtomicBoolean flooded = new AtomicBoolean();
+    testbed.runInBackground(
+        () -> {
+          while (!flooded.get()) {
+            maxHeld.accumulateAndGet(testbed.gateway.resourceCount(), Math::max);
+          }
+        });
+    ByteArrayOutputStream flood = new ByteArrayOutputStream();
+    for (int number = 1; number <= CANCELLED_REQUESTS; number++) {
+      flood.writeBytes(
+          TestClient.encodeRequest(
+              number, "parts", TestClient.requestFields(number, 4000, number), null));
+      flood.writeBytes(TestClient.encodeCancel(number));
+    }
+
+    try (TestClient flooding = testbed.client()) {
+      Future<?> reading = testbed.executor.submit(() -> receiveUntilStatus(flooding));
+      flooding.send(flood.toByteArray());
+      flooding.send(TestClient.encodeRequest(STATUS_ID, STATUS, Map.of(), null));
+      reading.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    flooded.set(true);
+    assertTrue(maxHeld.get() < MAX_HELD, "requests, endpoints and connections: " + maxHeld);
+  }
+
+  private static Void receiveUntilStatus(TestClient client) throws IOException {
+    while (client.receive().messageId() != STATUS_ID) {
+      // Requests that are not admitted are answered, although their client cancels them.
+    }
+    return null;
+  }
+
   private static byte[] requests(String method, int count) throws IOException {
     byte[] request = TestClient.encodeRequest(1, method, Map.of(), null);
     ByteArrayOutputStream requests = new ByteArrayOutputStream(count * request.length);
