--- a/app/src/main/java/org/amberpath/cli/NewCacheOptions.java
+++ b/app/src/main/java/org/amberpath/cli/NewCacheOptions.java
@@ -1,5 +1,7 @@
 package org.amberpath.cli;
 
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import org.amberpath.registry.RegistryRecord;
 import org.amberpath.routing.EndpointState;
 import picocli.CommandLine.Option;
@@ -23,15 +25,13 @@
 
   @Option(
       names = "--weight",
-      defaultValue = "1",
       description = "Size of the cache, in the unit of the platform's settings. Default: 1.")
-  private double weight;
+  private Double weight;
 
   @Option(
       names = "--cell",
-      defaultValue = "0",
-      description = "Cell (rack) of the cache; 0 for none. Default: 0.")
-  private int cell;
+      description = "Cell (rack) of the cache. Default: none, which counts as 0.")
+  private Integer cell;
 
   @Option(names = "--cold", description = "The cache has just started and holds no copies.")
   private boolean cold;
@@ -46,9 +46,9 @@
         address,
         zone,
         kind,
-        cell,
+        cell == null ? OptionalInt.empty() : OptionalInt.of(cell),
         EndpointState.UP,
-        weight,
+        weight == null ? OptionalDouble.empty() : OptionalDouble.of(weight),
         cold ? System.currentTimeMillis() : 0);
   }
 }
--- a/app/src/main/java/org/amberpath/cli/RegistryLinePrinter.java
+++ b/app/src/main/java/org/amberpath/cli/RegistryLinePrinter.java
@@ -40,7 +40,7 @@
           .put("address", cache.address())
           .put("zone", cache.zone())
           .put("kind", cache.kind())
-          .put("weight", cache.weight());
+          .put("weight", cache.weight().orElse(ListedEndpoint.DEFAULT_WEIGHT));
     } else if (entry.value() instanceof RegistryRecord.Purge purge) {
       line.put(
               "purge",
@@ -77,7 +77,7 @@
             .put("address", endpoint.address())
             .put("zone", endpoint.zone())
             .put("kind", endpoint.kind())
-            .put("weight", endpoint.weight()));
+            .put("weight", endpoint.weight().orElse(ListedEndpoint.DEFAULT_WEIGHT)));
   }
 
   @Override
--- a/gateway/src/main/java/org/amberpath/gateway/EndpointDiscovery.java
+++ b/gateway/src/main/java/org/amberpath/gateway/EndpointDiscovery.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.net.SocketAddress;
 import java.util.Optional;
+import java.util.logging.Logger;
 import org.amberpath.gateway.discovery.JournalClient;
 import org.amberpath.gateway.discovery.JournalDecoder;
 import org.amberpath.gateway.pipeline.PipelineContext;
@@ -15,6 +16,8 @@
  * are merged by {@link MergedEndpointLists}.
  */
 final class EndpointDiscovery {
+  private static final Logger LOG = Logger.getLogger(EndpointDiscovery.class.getName());
+
   private final JournalDecoder journalDecoder;
   private final EndpointListener journalListener;
 
@@ -34,12 +37,14 @@
       RequestPipeline pipeline, GatewayOptions options, EndpointSource.Factory sourceFactory) {
     PipelineContext context = pipeline.context();
     boolean usesJournal = options.journalAddress().isPresent();
-    MergedEndpointLists mergedLists = new MergedEndpointLists(pipeline.endpointListener());
+    MergedEndpointLists mergedLists =
+        new MergedEndpointLists(pipeline.endpointListener(), EndpointDiscovery::logContradiction);
     EndpointListener sourceListener =
         sourceFactory == null || !usesJournal
             ? pipeline.endpointListener()
-            : mergedLists.addSource();
-    journalListener = sourceFactory == null ? pipeline.endpointListener() : mergedLists.addSource();
+            : mergedLists.addSource("registry");
+    journalListener =
+        sourceFactory == null ? pipeline.endpointListener() : mergedLists.addSource("journal");
     journalDecoder = new JournalDecoder(context.clock());
     source =
         sourceFactory == null
@@ -52,6 +57,10 @@
             .orElse(null);
   }
 
+  private static void logContradiction(String id, String contradictions) {
+    LOG.warning("endpoint " + id + ": discovery sources contradict each other: " + contradictions);
+  }
+
   private JournalClient newJournalClient(
       SocketAddress address, RequestPipeline pipeline, GatewayOptions options) {
     PipelineContext context = pipeline.context();
--- a/gateway/src/main/java/org/amberpath/gateway/discovery/JournalDecoder.java
+++ b/gateway/src/main/java/org/amberpath/gateway/discovery/JournalDecoder.java
@@ -2,6 +2,8 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.amberpath.gateway.settings.JsonReader;
 import org.amberpath.routing.EndpointListKind;
@@ -127,9 +129,11 @@
             instance.has("hostPort") ? instance.string("hostPort") : "",
             instance.has("zone") ? instance.string("zone") : "",
             instance.has("machineType") ? instance.string("machineType") : "",
-            instance.intOr("cell", 0),
+            instance.has("cell") ? OptionalInt.of(instance.intOr("cell", 0)) : OptionalInt.empty(),
             endpointState(instance),
-            instance.doubleOr("weight", 1),
+            instance.has("weight")
+                ? OptionalDouble.of(instance.doubleOr("weight", 1))
+                : OptionalDouble.empty(),
             instance.longOr("startedAtMs", 0)));
   }
 
--- a/gateway/src/main/java/org/amberpath/gateway/pipeline/CacheEndpoint.java
+++ b/gateway/src/main/java/org/amberpath/gateway/pipeline/CacheEndpoint.java
@@ -101,9 +101,9 @@
         id,
         latestListing.zone(),
         latestListing.kind(),
-        latestListing.cell(),
+        latestListing.cell().orElse(ListedEndpoint.DEFAULT_CELL),
         latestListing.state(),
-        latestListing.weight(),
+        latestListing.weight().orElse(ListedEndpoint.DEFAULT_WEIGHT),
         startedAtNanos);
   }
 }
--- a/registry/src/main/java/org/amberpath/registry/RegistryRecord.java
+++ b/registry/src/main/java/org/amberpath/registry/RegistryRecord.java
@@ -1,5 +1,7 @@
 package org.amberpath.registry;
 
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import org.amberpath.routing.EndpointState;
 
 /** The decoded value of one key. docs/operate/registry.md defines keys and values. */
@@ -8,6 +10,8 @@
    * A cache endpoint.
    *
    * @param id the endpoint's stable id, which is the last part of its key
+   * @param cell number of the shelf or rack; empty if the record leaves it out
+   * @param weight the cache's size; empty if the record leaves it out
    * @param startedAtMs when the cache started, in Unix milliseconds of its writer's clock; 0 for
    *     long ago
    */
@@ -16,11 +20,32 @@
       String address,
       String zone,
       String kind,
-      int cell,
+      OptionalInt cell,
       EndpointState state,
-      double weight,
+      OptionalDouble weight,
       long startedAtMs)
-      implements RegistryRecord {}
+      implements RegistryRecord {
+    /** Creates a record with a cell and a weight. */
+    public Cache(
+        String id,
+        String address,
+        String zone,
+        String kind,
+        int cell,
+        EndpointState state,
+        double weight,
+        long startedAtMs) {
+      this(
+          id,
+          address,
+          zone,
+          kind,
+          OptionalInt.of(cell),
+          state,
+          OptionalDouble.of(weight),
+          startedAtMs);
+    }
+  }
 
   /**
    * A purge of one object or, if {@code object} is 0, of a group.
--- a/registry/src/main/java/org/amberpath/registry/runtime/RecordCodec.java
+++ b/registry/src/main/java/org/amberpath/registry/runtime/RecordCodec.java
@@ -6,6 +6,8 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import org.amberpath.gateway.GatewayOptions;
 import org.amberpath.gateway.settings.InvalidDocumentException;
 import org.amberpath.gateway.settings.JsonReader;
@@ -85,21 +87,28 @@
         };
     String address = fields.string("address");
     GatewayOptions.address("value: field 'address' is", address);
-    double weight = fields.doubleOr("weight", 1);
-    if (!(weight > 0) || Double.isInfinite(weight)) {
-      throw fields.invalid("weight", "not a finite number above 0");
-    }
     return new RegistryRecord.Cache(
         requireName(fields, "id", id),
         address,
         requireName(fields, "zone", fields.string("zone")),
         requireName(fields, "kind", fields.string("kind")),
-        fields.intOr("cell", 0),
+        fields.has("cell") ? OptionalInt.of(fields.intOr("cell", 0)) : OptionalInt.empty(),
         state,
-        weight,
+        decodeWeight(fields),
         fields.longOr("started_at_ms", 0));
   }
 
+  private static OptionalDouble decodeWeight(JsonReader fields) {
+    if (!fields.has("weight")) {
+      return OptionalDouble.empty();
+    }
+    double weight = fields.doubleOr("weight", 1);
+    if (!(weight > 0) || Double.isInfinite(weight)) {
+      throw fields.invalid("weight", "not a finite number above 0");
+    }
+    return OptionalDouble.of(weight);
+  }
+
   private static String requireName(JsonReader fields, String key, String name) {
     if (name.isEmpty()
         || name.length() > MAX_NAME_LENGTH
@@ -147,9 +156,13 @@
         json.writeStringField("address", cache.address());
         json.writeStringField("zone", cache.zone());
         json.writeStringField("kind", cache.kind());
-        json.writeNumberField("cell", cache.cell());
+        if (cache.cell().isPresent()) {
+          json.writeNumberField("cell", cache.cell().getAsInt());
+        }
         json.writeStringField("state", cache.state() == EndpointState.UP ? "ready" : "draining");
-        json.writeNumberField("weight", cache.weight());
+        if (cache.weight().isPresent()) {
+          json.writeNumberField("weight", cache.weight().getAsDouble());
+        }
         json.writeNumberField("started_at_ms", cache.startedAtMs());
       } else if (value instanceof RegistryRecord.Purge purge) {
         if (purge.object() != 0) {
--- a/registry/src/main/java/org/amberpath/registry/runtime/WallTimes.java
+++ b/registry/src/main/java/org/amberpath/registry/runtime/WallTimes.java
@@ -41,15 +41,9 @@
   @Override
   public void endpointListed(ListedEndpoint endpoint) {
     listener.endpointListed(
-        new ListedEndpoint(
-            endpoint.id(),
-            endpoint.address(),
-            endpoint.zone(),
-            endpoint.kind(),
-            endpoint.cell(),
-            endpoint.state(),
-            endpoint.weight(),
-            endpoint.startedAtMillis() == 0 ? 0 : endpoint.startedAtMillis() + wallOffsetMillis()));
+        endpoint.startedAtMillis() == 0
+            ? endpoint
+            : endpoint.withStartedAtMillis(endpoint.startedAtMillis() + wallOffsetMillis()));
   }
 
   @Override
--- a/registry/src/test/java/org/amberpath/registry/RecordedOutputs.java
+++ b/registry/src/test/java/org/amberpath/registry/RecordedOutputs.java
@@ -97,9 +97,9 @@
         "member",
         endpoint.id(),
         endpoint.address(),
-        endpoint.cell(),
+        endpoint.cell().orElse(ListedEndpoint.DEFAULT_CELL),
         state,
-        endpoint.weight(),
+        endpoint.weight().orElse(ListedEndpoint.DEFAULT_WEIGHT),
         endpoint.startedAtMillis());
   }
 
--- a/registry/src/test/java/org/amberpath/registry/runtime/RecordCodecTest.java
+++ b/registry/src/test/java/org/amberpath/registry/runtime/RecordCodecTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
 import java.nio.charset.StandardCharsets;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.amberpath.registry.RegistryRecord;
@@ -34,6 +36,20 @@
     assertEquals(purge, RecordCodec.decode("purges/1", RecordCodec.encode(purge)));
   }
 
+  /** Guards against a cell that no record states and that hides the one that the journal tells. */
+  @Test
+  void cellAndWeightThatARecordLeavesOutStayLeftOut() {
+    RegistryRecord decoded =
+        RecordCodec.decode(
+            "caches/c1",
+            bytes("{'v':1,'address':'127.0.0.1:1','zone':'z','kind':'k','state':'ready'}"));
+
+    RegistryRecord.Cache cache = assertInstanceOf(RegistryRecord.Cache.class, decoded);
+    assertEquals(OptionalInt.empty(), cache.cell());
+    assertEquals(OptionalDouble.empty(), cache.weight());
+    assertEquals(cache, RecordCodec.decode("caches/c1", RecordCodec.encode(cache)));
+  }
+
   @ParameterizedTest
   @ValueSource(
       strings = {
