--- a/gateway/src/main/java/org/amberpath/gateway/ClientListener.java
+++ b/gateway/src/main/java/org/amberpath/gateway/ClientListener.java
@@ -38,9 +38,9 @@
     this.pipeline = pipeline;
     writeBuffers =
         new WriteBufferAccounting(
-            new ResponseBufferLimit(options.maxUnreadBytes()),
+            new ResponseBufferLimit(options.memory().unreadResponseBytes()),
             pipeline.context().clock()::nowNanos);
-    partialRequests = new ReceiveBufferAccounting(options.maxPartialRequestBytes());
+    partialRequests = new ReceiveBufferAccounting(options.memory().partialRequestBytes());
     Vertx vertx = pipeline.context().vertx();
     server = vertx.createNetServer(new NetServerOptions().setAcceptBacklog(ACCEPT_BACKLOG));
     server.connectHandler(this::accept);
--- a/gateway/src/main/java/org/amberpath/gateway/EndpointDiscovery.java
+++ b/gateway/src/main/java/org/amberpath/gateway/EndpointDiscovery.java
@@ -67,7 +67,8 @@
     return new JournalClient(
         context.vertx(),
         address,
-        new JournalClient.Bounds(JournalClient.MAX_WAIT_MILLIS, options.maxUnreadBytes()),
+        new JournalClient.Bounds(
+            JournalClient.MAX_WAIT_MILLIS, options.memory().unreadResponseBytes()),
         new JournalClient.Sinks(
             journalDecoder,
             journalListener,
--- a/gateway/src/main/java/org/amberpath/gateway/GatewayOptions.java
+++ b/gateway/src/main/java/org/amberpath/gateway/GatewayOptions.java
@@ -16,6 +16,7 @@
 import org.amberpath.gateway.settings.JsonReader;
 import org.amberpath.gateway.settings.JsonRoutingConfig;
 import org.amberpath.gateway.settings.NumericAddress;
+import org.amberpath.routing.MemoryBudget;
 
 /**
  * The settings that a gateway is started with, from the configuration file and the environment. All
@@ -36,20 +37,6 @@
   private static final int MIN_MEMORY_MB = 32;
   private static final int BYTES_PER_MB_SHIFT = 20;
 
-  /** All clients together may leave unread at most the configured memory divided by this. */
-  private static final int UNREAD_TOTAL_DIVISOR = 12;
-
-  /** Partially received requests may take at most the configured memory divided by this. */
-  private static final int PARTIAL_REQUESTS_DIVISOR = 24;
-
-  /**
-   * Partially received replies of caches may take at most the configured memory divided by this.
-   */
-  private static final int PARTIAL_REPLIES_DIVISOR = 12;
-
-  /** The bodies of requests in flight may take at most the configured memory divided by this. */
-  private static final int REQUEST_BODIES_DIVISOR = 24;
-
   private static final int MAX_BODY_BYTES = 240_000;
 
   /** The upper bound of a class's viewer timeout, and its value where a class states none. */
@@ -77,7 +64,7 @@
   private final int maxCommandsPerConnection;
   private final int maxInFlight;
   private final int descriptors;
-  private final long memoryBytes;
+  private final MemoryBudget memory;
 
   private GatewayOptions(
       Map<String, String> environment, JsonReader document, boolean usesJournal) {
@@ -92,9 +79,11 @@
         document.has("known") ? document.object("known") : new JsonReader("known", Map.of());
     JsonReader limits = document.objectOrEmpty("limits");
     descriptors = intAtLeast(limits, "sockets", DEFAULT_DESCRIPTORS, MIN_DESCRIPTORS);
-    memoryBytes =
-        (long) intAtLeast(limits, "memory_mb", DEFAULT_MEMORY_MB, MIN_MEMORY_MB)
-            << BYTES_PER_MB_SHIFT;
+    memory =
+        new MemoryBudget(
+            (long) intAtLeast(limits, "memory_mb", DEFAULT_MEMORY_MB, MIN_MEMORY_MB)
+                << BYTES_PER_MB_SHIFT,
+            Runtime.getRuntime().maxMemory());
     JsonReader settings = document.object("settings");
     routingConfig = new JsonRoutingConfig(seed(document), settings);
     JsonReader bounds = settings.objectOrEmpty("bounds");
@@ -199,7 +188,7 @@
         journalAddress.isPresent(),
         discoveryGraceNanos,
         maxInFlight,
-        memoryBytes / REQUEST_BODIES_DIVISOR,
+        memory.requestBodyBytes(),
         maxClientConnections(),
         cacheConnectionConfig());
   }
@@ -216,7 +205,7 @@
         connectTimeoutNanos,
         cacheIdleTimeoutNanos * 3 / 4,
         MAX_BODY_BYTES,
-        memoryBytes / PARTIAL_REPLIES_DIVISOR);
+        memory.partialReplyBytes());
   }
 
   /** Returns the gateway's name in its log. */
@@ -263,16 +252,8 @@
     return descriptors / 2;
   }
 
-  /** Returns how many bytes all partially received requests together may take. */
-  public long maxPartialRequestBytes() {
-    return memoryBytes / PARTIAL_REQUESTS_DIVISOR;
-  }
-
-  /**
-   * Returns how many bytes of their responses all clients together may leave unread. It is also the
-   * length limit of a journal reply.
-   */
-  public long maxUnreadBytes() {
-    return memoryBytes / UNREAD_TOTAL_DIVISOR;
+  /** Returns the bounds on the bytes that the gateway holds for others. */
+  public MemoryBudget memory() {
+    return memory;
   }
 }
--- a/gateway/src/main/java/org/amberpath/gateway/client/MessageReader.java
+++ b/gateway/src/main/java/org/amberpath/gateway/client/MessageReader.java
@@ -13,7 +13,7 @@
  */
 public final class MessageReader implements Handler<Buffer>, ReceiveBufferAccounting.Holder {
   /** A partial message in a buffer of at most this length is neither counted nor discarded. */
-  static final int MAX_UNCOUNTED_BYTES = 4096;
+  static final int MAX_UNCOUNTED_BYTES = 1024;
 
   /** Receives the values of a stream, and its protocol error if there is one. */
   public interface Sink {
