--- a/gateway/src/main/java/org/amberpath/gateway/cache/CacheConnection.java
+++ b/gateway/src/main/java/org/amberpath/gateway/cache/CacheConnection.java
@@ -30,6 +30,8 @@
      * connect timeout: the peer may be unreachable. The next received byte restores {@link #OPEN}.
      */
     UNRESPONSIVE,
+    /** The cache was replaced since the connection was made: no further command is sent on it. */
+    RETIRED,
     /** The socket is closed, or being closed. */
     CLOSED
   }
@@ -115,6 +117,18 @@
     socket.write(command.encode(nowNanos));
   }
 
+  /**
+   * Ends the use of this connection, because its cache was replaced by another process: closes it,
+   * as soon as no command is in flight.
+   */
+  void retire() {
+    if (inFlight.isEmpty()) {
+      close();
+    } else if (state != State.CLOSED) {
+      state = State.RETIRED;
+    }
+  }
+
   /**
    * Cancels a command in flight; a reply to it that is still received is dropped.
    *
@@ -128,7 +142,8 @@
     }
     // A connection whose peer may be unreachable gets no new commands. A slow reply does not prove
     // that, so commands in flight on the connection continue.
-    if (lastReadNanos < command.writtenAtNanos
+    if (state == State.OPEN
+        && lastReadNanos < command.writtenAtNanos
         && pool.nowNanos() - command.writtenAtNanos > timeoutNanos) {
       state = State.UNRESPONSIVE;
     }
--- a/gateway/src/main/java/org/amberpath/gateway/cache/CachePool.java
+++ b/gateway/src/main/java/org/amberpath/gateway/cache/CachePool.java
@@ -246,6 +246,15 @@
     }
   }
 
+  /**
+   * Ends the use of all open connections, because the cache was replaced by another process at its
+   * address. Guards against commands on a connection to the old process, which may be unreachable
+   * without having reset it. Commands in flight continue; the next sweep closes their connections.
+   */
+  public void retireConnections() {
+    List.copyOf(connections).forEach(CacheConnection::retire);
+  }
+
   /** Returns whether no command is in flight or waiting. */
   public boolean isIdle() {
     return waitingCommands.isEmpty()
--- a/gateway/src/main/java/org/amberpath/gateway/pipeline/CacheEndpoint.java
+++ b/gateway/src/main/java/org/amberpath/gateway/pipeline/CacheEndpoint.java
@@ -22,6 +22,9 @@
   /** The connections to the cache; null while there are none. */
   CachePool pool;
 
+  /** Whether the latest complete list did not contain the cache, or contained it as gone. */
+  private boolean wasGone;
+
   /** The latest description by discovery; null before the first one. */
   private ListedEndpoint latestListing;
 
@@ -40,8 +43,18 @@
     this.index = index;
   }
 
-  /** Applies the endpoint's latest description from discovery, which may be its first. */
+  /**
+   * Applies the endpoint's latest description from discovery, which may be its first. The
+   * connections are not used any more if another process has taken the cache's place: one that is
+   * listed after the cache was gone, or one with a later start.
+   */
   void update(ListedEndpoint endpoint, Clock clock) {
+    boolean isReplaced =
+        (wasGone && endpoint.state() != EndpointState.GONE)
+            || (latestListing != null && endpoint.startedAtMillis() > startedAtMillis);
+    if (isReplaced && pool != null) {
+      pool.retireConnections();
+    }
     latestListing = endpoint;
     state = endpoint.state();
     if (endpoint.startedAtMillis() != startedAtMillis) {
@@ -50,6 +63,11 @@
     }
   }
 
+  /** Records that an endpoint list is complete, which may have left this endpoint out. */
+  void listCompleted() {
+    wasGone = isGone();
+  }
+
   private long startedAtNanos(Clock clock) {
     return startedAtMillis == 0 ? 0 : clock.nowNanos() - clock.startAgeNanos(startedAtMillis);
   }
--- a/gateway/src/main/java/org/amberpath/gateway/pipeline/CacheEndpoints.java
+++ b/gateway/src/main/java/org/amberpath/gateway/pipeline/CacheEndpoints.java
@@ -182,6 +182,7 @@
     // longer up. Guards against a command that is sent after the drain's grace.
     int listedCount = 0;
     for (CacheEndpoint endpoint : byId.values()) {
+      endpoint.listCompleted();
       listedCount += endpoint.isGone() ? 0 : 1;
       if (endpoint.pool != null) {
         endpoint.pool.failWaiting(
--- a/gateway/src/test/java/org/amberpath/gateway/EndpointDiscoveryTest.java
+++ b/gateway/src/test/java/org/amberpath/gateway/EndpointDiscoveryTest.java
@@ -52,6 +52,35 @@
     assertTrue(cache.commands.isEmpty());
   }
 
+  /**
+   * Guards against requests on a connection to a process that is gone, after another process has
+   * taken its place at the same address.
+   */
+  @ParameterizedTest
+  @ValueSource(strings = {"listed as gone before", "listed with a later start"})
+  void requestAfterTheReplacementOfItsCacheGoesOnANewConnection(String replacement)
+      throws Exception {
+    client.sendRequest(1, "parts", 1500, 0);
+    ReceivedCommand toOldProcess = cache.nextCommand();
+    toOldProcess.replyOk("old");
+    assertEquals("old", text(client.receive()));
+
+    if (replacement.equals("listed as gone before")) {
+      testbed.journal.listEndpoint("c0", cache.address(), "box", "gone");
+      testbed.journal.listEndpoint("c0", cache.address(), "box", "ready");
+      awaitPoll("tail=4");
+    } else {
+      testbed.journal.listStartedEndpoint("c0", cache.address(), System.currentTimeMillis());
+      awaitPoll("tail=3");
+    }
+
+    client.sendRequest(2, "parts", 1500, 0);
+    ReceivedCommand toNewProcess = cache.nextCommand();
+    assertNotEquals(toOldProcess.socket().getPort(), toNewProcess.socket().getPort());
+    toNewProcess.replyOk("new");
+    assertEquals("new", text(client.receive()));
+  }
+
   @Test
   void attemptWaitingForAConnectionIsReroutedWhenItsCacheOrSourceDrains() throws Exception {
     for (String drainedId : List.of("c0", "o0")) {
--- a/gateway/src/test/java/org/amberpath/gateway/testsupport/StubJournal.java
+++ b/gateway/src/test/java/org/amberpath/gateway/testsupport/StubJournal.java
@@ -77,6 +77,16 @@
    * @param state the lifecycle value: ready, draining or gone
    */
   public void listEndpoint(String id, String address, String kind, String state) {
+    addEndpointEntry(id, address, kind, state, 0);
+  }
+
+  /** Adds an entry that lists a ready cache of kind box with its start in Unix milliseconds. */
+  public void listStartedEndpoint(String id, String address, long startedAtMillis) {
+    addEndpointEntry(id, address, "box", "ready", startedAtMillis);
+  }
+
+  private void addEndpointEntry(
+      String id, String address, String kind, String state, long startedAtMillis) {
     addEntry(
         "\"hosts\":{\"generation\":1,\"reset\":false,\"instances\":[{\"instanceId\":\""
             + id
@@ -86,7 +96,9 @@
             + kind
             + "\",\"cell\":0,\"lifecycle\":\""
             + state
-            + "\",\"weight\":4,\"startedAtMs\":0}]}");
+            + "\",\"weight\":4,\"startedAtMs\":"
+            + startedAtMillis
+            + "}]}");
   }
 
   private void handlePoll(HttpExchange exchange) throws IOException {
