--- a/gateway/src/main/java/org/amberpath/gateway/client/ClientConnection.java
+++ b/gateway/src/main/java/org/amberpath/gateway/client/ClientConnection.java
@@ -71,7 +71,7 @@
     session = new RequestSession(this, handler);
     reader = new MessageReader(MAX_MESSAGE_BYTES, partialMessages, this);
     lastActivityNanos = clock.getAsLong();
-    BudgetedReads.install(context().channel(), readBudget);
+    BudgetedReads.install(context().channel(), readBudget, clock);
     socket.handler(
         bytes -> {
           if (state.sendsResponses()) {
@@ -118,6 +118,11 @@
     return readingPaused;
   }
 
+  /** Returns what has been read from the client. */
+  public ReadBudget input() {
+    return readBudget;
+  }
+
   /** Returns whether the last message has been received only in part. */
   public boolean hasPartialMessage() {
     return reader.hasPartialMessage();
--- a/gateway/src/main/java/org/amberpath/gateway/pipeline/AdmissionControl.java
+++ b/gateway/src/main/java/org/amberpath/gateway/pipeline/AdmissionControl.java
@@ -12,9 +12,10 @@
 /**
  * Second stage of the pipeline: admits a decoded request and passes it on to the {@link
  * RoutingStage}, or answers it at once. A request of an unknown traffic class, or under a reference
- * that is already in flight, is rejected as invalid. A request above the limit on unanswered
- * requests, on the bytes of their bodies or on those that wait to be routed, or with too little
- * time left for an attempt, is rejected as overload.
+ * that is already in flight, is rejected as invalid. One under the reference of an earlier request
+ * is failed where that one may have had an effect, or its reply may still come. A request above the
+ * limit on unanswered requests, on the bytes of their bodies or on those that wait to be routed, or
+ * with too little time left for an attempt, is rejected as overload.
  */
 final class AdmissionControl {
   private static final Logger LOG = Logger.getLogger(AdmissionControl.class.getName());
@@ -80,6 +81,7 @@
           new ClientRequest(
               inFlight.nextId(), client, messageId, decoded, trafficClass, deadlineNanos);
       request.receivedAtNanos = nowNanos;
+      request.messageNumber = client.input().messageCount();
       request.backlog = backlog;
       inFlight.add(request);
       routingStage.route(request);
--- a/gateway/src/main/java/org/amberpath/gateway/pipeline/ClientRequest.java
+++ b/gateway/src/main/java/org/amberpath/gateway/pipeline/ClientRequest.java
@@ -51,6 +51,9 @@
   /** The clock time at which the request was read; 0 for a synthetic request. */
   long receivedAtNanos;
 
+  /** The number of the client's messages up to this request. */
+  long messageNumber;
+
   /**
    * The unread bytes that the request waited with while the event loop lagged; null if it did not
    * wait.
@@ -58,8 +61,8 @@
   SocketReads.Backlog backlog;
 
   /**
-   * Whether the request may be routed in spite of its backlog: the client's connection was read
-   * again since, so that a close behind the request is known. See {@link SocketReads}.
+   * Whether the request may be routed: the client's connection was read as far as a close behind
+   * the request would be known. See {@link SocketReads}.
    */
   boolean settled;
 
--- a/gateway/src/main/java/org/amberpath/gateway/pipeline/RoutingStage.java
+++ b/gateway/src/main/java/org/amberpath/gateway/pipeline/RoutingStage.java
@@ -259,19 +259,21 @@
   }
 
   /**
-   * Returns whether a request may be routed: the event loop did not lag before the request was
-   * read, or the client's connection was read again since, or the request is answered. Guards
-   * against an attempt for a client whose close is still unread behind its pipelined requests.
+   * Returns whether a request may be routed: it is answered, or the client's connection was read as
+   * far as a close behind the request would be known. Guards against an attempt for a client whose
+   * close is still unread behind its pipelined requests.
    */
   private boolean isSettled(ClientRequest request) {
-    if (request != null && request.backlog != null && !request.settled) {
-      request.settled =
-          request.answered
-              || socketReads.wasReread(
-                  request.receivedAtNanos, context.inFlight().lastReceivedAtNanos(request.client));
-      return request.settled;
+    if (request == null || request.isSynthetic() || request.answered || request.settled) {
+      return true;
     }
-    return true;
+    boolean isReread =
+        request.backlog == null
+            || socketReads.wasReread(
+                request.receivedAtNanos, context.inFlight().lastReceivedAtNanos(request.client));
+    request.settled =
+        isReread && !socketReads.hasInputBehind(request.client.input(), request.messageNumber);
+    return request.settled;
   }
 
   private void sendDeferredAttempts() {
--- a/gateway/src/main/java/org/amberpath/gateway/transport/BudgetedReads.java
+++ b/gateway/src/main/java/org/amberpath/gateway/transport/BudgetedReads.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelConfig;
 import io.netty.channel.RecvByteBufAllocator;
+import java.util.function.LongSupplier;
 import org.amberpath.routing.ReadBudget;
 
 /**
@@ -18,18 +19,24 @@
   private static final int INITIAL_READ_BYTES = 2048;
 
   private final ReadBudget budget;
+  private final LongSupplier clock;
   private final AdaptiveRecvByteBufAllocator lengths =
       new AdaptiveRecvByteBufAllocator(
           MIN_READ_BYTES, INITIAL_READ_BYTES, ReadBudget.MAX_READ_BYTES);
 
-  private BudgetedReads(ReadBudget budget) {
+  private BudgetedReads(ReadBudget budget, LongSupplier clock) {
     this.budget = budget;
+    this.clock = clock;
     lengths.maxMessagesPerRead(ReadBudget.MAX_READS_PER_TURN);
   }
 
-  /** Makes a channel read within a budget; to be called before its first read. */
-  public static void install(Channel channel, ReadBudget budget) {
-    channel.config().setRecvByteBufAllocator(new BudgetedReads(budget));
+  /**
+   * Makes a channel read within a budget; to be called before its first read.
+   *
+   * @param clock monotonic time in nanoseconds
+   */
+  public static void install(Channel channel, ReadBudget budget, LongSupplier clock) {
+    channel.config().setRecvByteBufAllocator(new BudgetedReads(budget, clock));
   }
 
   @Override
@@ -59,6 +66,12 @@
       return allocator.ioBuffer(guess());
     }
 
+    @Override
+    public void readComplete() {
+      super.readComplete();
+      budget.turnEnded(lastBytesRead() == attemptedBytesRead(), clock.getAsLong());
+    }
+
     @Override
     public boolean continueReading() {
       return !budget.isExhausted() && super.continueReading();
--- a/routing/src/main/java/org/amberpath/routing/ReadBudget.java
+++ b/routing/src/main/java/org/amberpath/routing/ReadBudget.java
@@ -23,7 +23,10 @@
   private static final int MAX_READ_BYTES_AFTER_BURST = 512;
 
   private int messages;
+  private long messageCount;
   private boolean lastTurnExhausted;
+  private boolean lastReadFilled;
+  private long lastReadNanos;
 
   /** Records that another turn reads from the client. */
   public void turnStarted() {
@@ -34,6 +37,32 @@
   /** Records that a complete message of the client was handled. */
   public void messageHandled() {
     messages++;
+    messageCount++;
+  }
+
+  /**
+   * Records that a turn has read from the client for the last time.
+   *
+   * @param lastReadFilled whether the last read got as many bytes as it asked for
+   */
+  public void turnEnded(boolean lastReadFilled, long nowNanos) {
+    this.lastReadFilled = lastReadFilled;
+    lastReadNanos = nowNanos;
+  }
+
+  /** Returns whether the last turn may have left bytes unread that had arrived before. */
+  boolean mayHaveUnreadInput() {
+    return lastReadFilled;
+  }
+
+  /** Returns the time of the last turn that has read from the client, in nanoseconds. */
+  long lastReadNanos() {
+    return lastReadNanos;
+  }
+
+  /** Returns the number of messages of the client that were handled. */
+  public long messageCount() {
+    return messageCount;
   }
 
   /** Returns whether the client has to wait for the next turn. */
--- a/routing/src/main/java/org/amberpath/routing/SocketReads.java
+++ b/routing/src/main/java/org/amberpath/routing/SocketReads.java
@@ -25,6 +25,12 @@
    */
   private static final long MAX_REREAD_NANOS = 50_000_000L;
 
+  /**
+   * Messages behind a request after which its client is not read any further first: as many
+   * requests as it may have open, and as many cancellations.
+   */
+  private static final int MAX_MESSAGES_BEHIND = 64;
+
   /**
    * Bytes that were queued unread at a connection while the event loop was late.
    *
@@ -66,6 +72,19 @@
     return lagNanos >= MIN_REREAD_LAG_NANOS;
   }
 
+  /**
+   * Whether a close or a cancellation may be queued unread behind a request: the last turn left
+   * input of its client unread, and the client is not one that sends without end.
+   *
+   * @param input what was read from the client
+   * @param messageNumber the number of the client's messages up to the request
+   */
+  public boolean hasInputBehind(ReadBudget input, long messageNumber) {
+    return input.mayHaveUnreadInput()
+        && readAtNanos < input.lastReadNanos()
+        && input.messageCount() - messageNumber <= MAX_MESSAGES_BEHIND;
+  }
+
   /**
    * Whether a connection has been read again since its last request, or for the maximum time since
    * the request in question.
--- a/routing/src/test/java/org/amberpath/routing/RequestTimesTest.java
+++ b/routing/src/test/java/org/amberpath/routing/RequestTimesTest.java
@@ -53,6 +53,31 @@
     assertFalse(new SocketReads.Backlog(0, 900 * MS).mayContinue(951 * MS));
   }
 
+  /** Guards against attempts for a client whose close is queued behind half of a large request. */
+  @Test
+  void requestWaitsWhileInputOfItsClientIsUnreadBehindIt() {
+    SocketReads reads = new SocketReads(0);
+    ReadBudget input = new ReadBudget();
+    input.messageHandled();
+    input.turnEnded(true, 100 * MS);
+    assertTrue(reads.hasInputBehind(input, 1));
+    reads.socketsRead(99 * MS);
+    assertTrue(reads.hasInputBehind(input, 1));
+
+    reads.socketsRead(100 * MS);
+    assertFalse(reads.hasInputBehind(input, 1), "nothing was read from it since");
+    input.turnEnded(true, 110 * MS);
+    assertTrue(reads.hasInputBehind(input, 1));
+    input.turnEnded(false, 120 * MS);
+    assertFalse(reads.hasInputBehind(input, 1), "the last read has emptied the socket");
+
+    input.turnEnded(true, 130 * MS);
+    for (int message = 0; message < 65; message++) {
+      input.messageHandled();
+    }
+    assertFalse(reads.hasInputBehind(input, 1), "the client sends without end");
+  }
+
   @Test
   void acceptedConnectionsCarryTheLagUntilTheAcceptQueueIsEmpty() {
     AcceptLag<Integer> acceptLag = new AcceptLag<>();
