--- a/gateway/src/main/java/org/amberpath/gateway/pipeline/AdmissionControl.java
+++ b/gateway/src/main/java/org/amberpath/gateway/pipeline/AdmissionControl.java
@@ -70,6 +70,8 @@
       // Guards against confused responses: an endpoint's reply is matched to its request by this
       // reference alone.
       client.rejectInvalidRequest(messageId, "ref: open already");
+    } else if (inFlight.isUsed(ClientRequest.requestIdOf(decoded), nowNanos)) {
+      client.sendError(messageId, "ref: used already");
     } else if (inFlight.unansweredCount() >= maxInFlight
         || RequestDeadline.isTooShort(deadlineNanos - nowNanos)) {
       client.sendOverloaded(messageId, 0);
--- a/gateway/src/main/java/org/amberpath/gateway/pipeline/AttemptSender.java
+++ b/gateway/src/main/java/org/amberpath/gateway/pipeline/AttemptSender.java
@@ -12,6 +12,7 @@
 import org.amberpath.routing.AttemptResult;
 import org.amberpath.routing.ResponseDetail;
 import org.amberpath.routing.RoutingConfig;
+import org.amberpath.routing.UsedRequestIds;
 
 /**
  * Fourth stage of the pipeline: sends the attempts that the router decides on to endpoints, and
@@ -181,6 +182,11 @@
     ClientRequest request = plan.request();
     context.vertx().cancelTimer(attempt.timeoutTimer);
     request.pendingAttempts--;
+    if (attempt.isWritten()
+        && UsedRequestIds.isUsedUp(
+            outcome, config.trafficClass(request.trafficClass).idempotency())) {
+      context.inFlight().markUsed(request, context.clock().nowNanos());
+    }
     request.endpointResponded |=
         outcome == AttemptOutcome.SUCCEEDED || outcome == AttemptOutcome.NOT_CACHED;
     if (outcome == AttemptOutcome.SUCCEEDED) {
--- a/gateway/src/main/java/org/amberpath/gateway/pipeline/InFlightRequests.java
+++ b/gateway/src/main/java/org/amberpath/gateway/pipeline/InFlightRequests.java
@@ -10,6 +10,7 @@
 import org.amberpath.gateway.client.ClientConnection;
 import org.amberpath.routing.RoutingQueueLimit;
 import org.amberpath.routing.SocketReads;
+import org.amberpath.routing.UsedRequestIds;
 
 /**
  * All requests in flight. A request is held from its admission until it is answered, its last
@@ -25,6 +26,7 @@
   private final Map<ClientConnection, Integer> waitingOfClient = new HashMap<>();
 
   private int waitingCount;
+  private final UsedRequestIds usedIds = new UsedRequestIds();
   private long lastId;
   private int unansweredCount;
   private long bodyBytes;
@@ -47,6 +49,16 @@
     return requestIds.contains(requestId);
   }
 
+  /** Records that no further request may be sent under the reference of this one. */
+  void markUsed(ClientRequest request, long nowNanos) {
+    usedIds.add(request.requestId, nowNanos);
+  }
+
+  /** Returns whether no further request may be sent under this reference. */
+  boolean isUsed(String requestId, long nowNanos) {
+    return usedIds.contains(requestId, nowNanos);
+  }
+
   /** Adds a request. */
   void add(ClientRequest request) {
     byId.put(request.id, request);
--- a/gateway/src/test/java/org/amberpath/gateway/AttemptOutcomeTest.java
+++ b/gateway/src/test/java/org/amberpath/gateway/AttemptOutcomeTest.java
@@ -66,6 +66,29 @@
     assertEquals("0000000000000001", next.element(1));
   }
 
+  /**
+   * Guards against a second effect of an id that comes again after its client has left, and against
+   * a late reply to the first request that is taken for the reply to the second.
+   */
+  @ParameterizedTest
+  @ValueSource(strings = {"orders", "parts"})
+  void requestOfAClientThatHasLeftIsNotSentAgainUnderItsId(String method) throws Exception {
+    client.sendRequest(1, method, 1500, 0);
+    cache.nextCommand();
+    client.close();
+    assertEquals("never_mind", cache.nextCommand().element(0));
+    TestClient returned = testbed.client();
+
+    returned.sendRequest(1, method, 1500, 0);
+
+    assertEquals("Internal", text(returned.receive()));
+    returned.sendRequest(2, method, 1500, 0);
+    ReceivedCommand next = cache.nextCommand();
+    assertEquals(String.format("%016x", 2), next.element(1));
+    next.replyOk("other");
+    assertEquals("other", text(returned.receive()));
+  }
+
   @Test
   void refusedConnectionProvesThatNothingWasExecuted() throws Exception {
     cache.close();
--- a/routing/src/test/java/org/amberpath/routing/RequestTimesTest.java
+++ b/routing/src/test/java/org/amberpath/routing/RequestTimesTest.java
@@ -78,6 +78,22 @@
     assertFalse(reads.hasInputBehind(input, 1), "the client sends without end");
   }
 
+  @Test
+  void usedRequestIdsAreBoundedInTimeAndNumber() {
+    UsedRequestIds ids = new UsedRequestIds();
+    ids.add("first", 0);
+    assertTrue(ids.contains("first", 30_000 * MS));
+    assertFalse(ids.contains("first", 30_001 * MS));
+    ids.add("second", 100 * MS);
+    for (int number = 0; number < 4095; number++) {
+      ids.add("id" + number, 200 * MS);
+    }
+    assertTrue(ids.contains("second", 200 * MS));
+    ids.add("last", 200 * MS);
+    assertFalse(ids.contains("second", 200 * MS));
+    assertTrue(ids.contains("last", 200 * MS));
+  }
+
   @Test
   void acceptedConnectionsCarryTheLagUntilTheAcceptQueueIsEmpty() {
     AcceptLag<Integer> acceptLag = new AcceptLag<>();
