--- a/lab/src/main/java/org/amberpath/lab/leadership/LeadershipModel.java
+++ b/lab/src/main/java/org/amberpath/lab/leadership/LeadershipModel.java
@@ -72,7 +72,9 @@
     simulation = new Simulation(seed, FAULT_PERIOD_NANOS, TimeUnit.MICROSECONDS, trace);
     SplittableRandom random = simulation.random();
     electedByRegistry =
-        variant == LeadershipVariant.RIGHT && random.nextInt(ELECTED_BY_REGISTRY_ONE_IN) == 0;
+        variant == LeadershipVariant.LEASE_FROM_LATEST_CAMPAIGN
+            || (variant == LeadershipVariant.RIGHT
+                && random.nextInt(ELECTED_BY_REGISTRY_ONE_IN) == 0);
     int count = MIN_GATEWAYS + random.nextInt(GATEWAY_COUNT_CHOICES);
     links = new LinkMatrix(simulation, count);
     messages =
--- a/lab/src/main/java/org/amberpath/lab/leadership/LeadershipVariant.java
+++ b/lab/src/main/java/org/amberpath/lab/leadership/LeadershipVariant.java
@@ -26,5 +26,11 @@
   NO_SECOND_LOOK,
 
   /** Recipients compare no terms. */
-  NO_FENCE
+  NO_FENCE,
+
+  /**
+   * The candidate takes each answer of the registry for the answer to its latest campaign, and so
+   * counts a lease that an earlier campaign won from a later time.
+   */
+  LEASE_FROM_LATEST_CAMPAIGN
 }
--- a/lab/src/main/java/org/amberpath/lab/leadership/SimulatedCandidate.java
+++ b/lab/src/main/java/org/amberpath/lab/leadership/SimulatedCandidate.java
@@ -23,6 +23,10 @@
   private static final long HEARTBEAT_TIMEOUT_NANOS = 1500 * Simulation.NANOS_PER_MILLI;
   private static final long MAX_WALL_CLOCK_OFFSET_MILLIS = 300;
   private static final long MAX_WALL_CLOCK_SETBACK_MILLIS = 2000;
+  private static final int LATE_ANSWER_ONE_IN = 5;
+
+  /** Two calls that are each answered up to 3 s late. */
+  private static final long MAX_ANSWER_DELAY_NANOS = 6 * Simulation.NANOS_PER_SECOND;
 
   private final LeadershipModel model;
   private final Simulation simulation;
@@ -298,6 +302,28 @@
       scheduleTick(task);
     }
 
+    /**
+     * Draws a delay after which the next request may long have been made: a campaign is several
+     * calls, each of which may be answered seconds late.
+     */
+    @Override
+    protected long drawAnswerDelayNanos() {
+      if (simulation.random().nextInt(LATE_ANSWER_ONE_IN) > 0) {
+        return super.drawAnswerDelayNanos();
+      }
+      long delayNanos = simulation.random().nextLong(MAX_ANSWER_DELAY_NANOS);
+      return simulation.nowNanos() + delayNanos < simulation.faultsUntilNanos()
+          ? delayNanos
+          : super.drawAnswerDelayNanos();
+    }
+
+    @Override
+    protected long answeredCampaign(long requestedAtNanos, long latestRequestedAtNanos) {
+      return model.variant() == LeadershipVariant.LEASE_FROM_LATEST_CAMPAIGN
+          ? latestRequestedAtNanos
+          : requestedAtNanos;
+    }
+
     @Override
     protected boolean isRegistryAvailable() {
       return model.registryKeys().isAvailable();
--- a/lab/src/main/java/org/amberpath/lab/simulation/LeaseKeyClient.java
+++ b/lab/src/main/java/org/amberpath/lab/simulation/LeaseKeyClient.java
@@ -17,6 +17,7 @@
   private final LeaseKey<?> key;
   private final SimulatedProcess process;
   private final int candidate;
+  private long latestCampaignAtNanos;
 
   /**
    * Creates the client of one process.
@@ -75,7 +76,22 @@
   }
 
   private void sendToProcess(Runnable answer) {
-    process.scheduleAfter(drawOneWayDelayNanos(), () -> runResponseHandler(answer));
+    process.scheduleAfter(drawAnswerDelayNanos(), () -> runResponseHandler(answer));
+  }
+
+  /** Returns how long the next answer of the registry is in transit, in nanoseconds. */
+  protected long drawAnswerDelayNanos() {
+    return drawOneWayDelayNanos();
+  }
+
+  /**
+   * Returns the time of the campaign that an answer is taken for.
+   *
+   * @param requestedAtNanos when the answered campaign was requested
+   * @param latestRequestedAtNanos when the latest campaign was requested
+   */
+  protected long answeredCampaign(long requestedAtNanos, long latestRequestedAtNanos) {
+    return requestedAtNanos;
   }
 
   private long drawOneWayDelayNanos() {
@@ -83,8 +99,9 @@
   }
 
   @Override
-  public final void campaign(long term, long modRevision) {
+  public final void campaign(long term, long modRevision, long requestedAtNanos) {
     long sentIncarnation = process.incarnation();
+    latestCampaignAtNanos = requestedAtNanos;
     sendToRegistry(
         () -> {
           boolean granted = key.tryAcquire(candidate, term, modRevision);
@@ -92,17 +109,19 @@
             keyGranted(term);
           }
           if (answersLaterIncarnations() || process.incarnation() == sentIncarnation) {
-            sendToProcess(() -> campaignAnswered(term, granted));
+            sendToProcess(() -> campaignAnswered(term, requestedAtNanos, granted));
           }
         });
   }
 
-  private void campaignAnswered(long term, boolean granted) {
-    if (granted) {
-      leadership().campaignWon(process.localNanos(), term);
+  private void campaignAnswered(long term, long campaignAtNanos, boolean granted) {
+    long requestedAtNanos = answeredCampaign(campaignAtNanos, latestCampaignAtNanos);
+    if (!granted) {
+      leadership().campaignLost(process.localNanos(), requestedAtNanos);
+    } else if (leadership().campaignWon(process.localNanos(), term, requestedAtNanos)) {
       campaignWon(term);
     } else {
-      leadership().leaseLost(process.localNanos());
+      sendToRegistry(() -> key.release(candidate, term));
     }
   }
 
--- a/leadership/src/main/java/org/amberpath/leadership/RegistryLeadership.java
+++ b/leadership/src/main/java/org/amberpath/leadership/RegistryLeadership.java
@@ -19,8 +19,9 @@
      *
      * @param term the term to write to the key
      * @param revision the revision that the key must still have; 0 for a key that does not exist
+     * @param requestedAtNanos when the campaign was requested; passed back with the result
      */
-    void campaign(long term, long revision);
+    void campaign(long term, long revision, long requestedAtNanos);
 
     /**
      * Renews the lease. Completes with {@link #leaseRenewed}, {@link #leaseLost} or {@link
@@ -143,7 +144,7 @@
       nextCampaignNanos =
           nowNanos + leaseNanos / CAMPAIGN_RETRY_DIVISOR + random.nextLong(marginNanos);
       campaignTerm = key.nextTerm();
-      commands.campaign(campaignTerm, key.revision());
+      commands.campaign(campaignTerm, key.revision(), requestedAtNanos);
     } else if (hasLease()) {
       if (state == State.WAITING && nowNanos >= settledAtNanos) {
         enter(State.HOLDING);
@@ -165,10 +166,17 @@
     return state == State.WAITING || state == State.HOLDING;
   }
 
-  /** Handles a won campaign: this process holds the key under this term. */
-  public void campaignWon(long nowNanos, long wonTerm) {
-    if (state != State.ASKING) {
-      return;
+  /**
+   * Handles a won campaign: this process holds the key under this term, unless the campaign was
+   * given up. Guards against a lease that is counted from a later campaign than the one that won
+   * it, which would last longer here than at the registry.
+   *
+   * @param requestedNanos when the campaign that was won was requested
+   * @return whether this process uses the lease; if not, the caller revokes it
+   */
+  public boolean campaignWon(long nowNanos, long wonTerm, long requestedNanos) {
+    if (!isCampaignInFlight(requestedNanos)) {
+      return false;
     }
     key.acquired(wonTerm);
     term = wonTerm;
@@ -181,6 +189,24 @@
         nowNanos + (predecessorHasStopped ? 0 : timings.longestNanos(timings.settleNanos()));
     nextRenewalNanos = requestedAtNanos + leaseNanos / RENEWAL_DIVISOR;
     tick(nowNanos);
+    return true;
+  }
+
+  private boolean isCampaignInFlight(long requestedNanos) {
+    return state == State.ASKING && requestedNanos == requestedAtNanos;
+  }
+
+  /**
+   * Handles a lost campaign: another process may lead. Does nothing if the campaign was given up.
+   *
+   * @param requestedNanos when the campaign that was lost was requested
+   */
+  public void campaignLost(long nowNanos, long requestedNanos) {
+    if (isCampaignInFlight(requestedNanos)) {
+      enter(State.FOLLOWING);
+      renewalInFlight = false;
+    }
+    tick(nowNanos);
   }
 
   @Override
@@ -192,7 +218,7 @@
     }
   }
 
-  /** Handles a lost campaign or a refused renewal: another process may lead. */
+  /** Handles a refused renewal: another process may lead. */
   public void leaseLost(long nowNanos) {
     if (state != State.RESIGNED) {
       enter(State.FOLLOWING);
--- a/leadership/src/main/java/org/amberpath/leadership/runtime/RegistryLeaseClient.java
+++ b/leadership/src/main/java/org/amberpath/leadership/runtime/RegistryLeaseClient.java
@@ -58,7 +58,7 @@
     }
 
     @Override
-    public void campaign(long term, long keyRevision) {
+    public void campaign(long term, long keyRevision, long requestedAtNanos) {
       lastReadBeforeCampaign = readsStarted;
       registry
           .campaign(
@@ -66,16 +66,20 @@
               new RegistryRecord.Task(term, membership.name()),
               keyRevision,
               timings.leaseNanos() / SECOND)
-          .onComplete(granted -> campaignEnded(term, granted));
+          .onComplete(granted -> campaignEnded(term, requestedAtNanos, granted));
     }
 
-    private void campaignEnded(long term, AsyncResult<Long> granted) {
+    private void campaignEnded(long term, long requestedAtNanos, AsyncResult<Long> granted) {
       lastReadBeforeCampaign = readsStarted;
       if (granted.failed() || granted.result() == 0) {
-        leadership.leaseLost(membership.nowNanos());
-      } else {
-        leaseId = granted.result();
-        leadership.campaignWon(membership.nowNanos(), term);
+        leadership.campaignLost(membership.nowNanos(), requestedAtNanos);
+        return;
+      }
+      long previousLeaseId = leaseId;
+      leaseId = granted.result(); // A win may at once be followed by a renewal of this lease.
+      if (!leadership.campaignWon(membership.nowNanos(), term, requestedAtNanos)) {
+        registry.revoke(leaseId);
+        leaseId = previousLeaseId;
       }
     }
 
--- a/leadership/src/test/java/org/amberpath/leadership/RecordedRegistryLeadershipTest.java
+++ b/leadership/src/test/java/org/amberpath/leadership/RecordedRegistryLeadershipTest.java
@@ -35,7 +35,7 @@
     "1, 156c6e843ffd00d94f6f811df50d73b01960d7cba35a0a1a838274045cb71b0d",
     "2, 4e4997b8e1505590594d3b4a96f37c3fe7526bdd47e2bec6d2c6053604d9b24d",
     "3, cdc645eba1deef75a1bb6cb8e8c869775081d726076754245dc2d180e0084ed2",
-    "4, 1c95903f8fdbcb005c9d620f5f67adf84dc6e97b1f2ffd9b153849bdd15f626f"
+    "4, cd0631501ad6d5b4f08015e88862cdeb1dc1fa7cb063c154bffe5a299e79323e"
   })
   void actionsMatchRecordedDigest(long seed, String recorded) {
     assertEquals(
--- a/leadership/src/test/java/org/amberpath/leadership/RegistryLeadershipTest.java
+++ b/leadership/src/test/java/org/amberpath/leadership/RegistryLeadershipTest.java
@@ -22,7 +22,7 @@
           TIMINGS,
           new RegistryLeadership.Commands() {
             @Override
-            public void campaign(long term, long revision) {
+            public void campaign(long term, long revision, long requestedAtNanos) {
               commands.add("campaign " + term + " " + revision);
             }
 
@@ -43,10 +43,29 @@
     leader.keyObserved(0, 4, false, 9);
     long now = leader.nextTickNanos();
     leader.tick(now);
-    leader.campaignWon(now, 5);
+    assertTrue(leader.campaignWon(now, 5, now));
     return now;
   }
 
+  /** Guards against two leaders where the answer to a campaign that was given up arrives late. */
+  @Test
+  void lateWinOfACampaignThatWasGivenUpIsNotUsed() {
+    leader.keyObserved(0, 4, false, 9);
+    long firstNanos = leader.nextTickNanos();
+    leader.tick(firstNanos);
+    long secondNanos = firstNanos + LEASE;
+    leader.tick(secondNanos);
+    assertEquals(List.of("campaign 5 9", "campaign 5 9"), commands);
+
+    assertFalse(leader.campaignWon(secondNanos + 1, 5, firstNanos));
+    leader.campaignLost(secondNanos + 2, firstNanos);
+    assertEquals(Leadership.State.ASKING, leader.state());
+
+    assertTrue(leader.campaignWon(secondNanos + 3, 5, secondNanos));
+    assertEquals(
+        secondNanos + TIMINGS.shortestNanos(LEASE) - LEASE / 8, leader.leaseExpiresAtNanos());
+  }
+
   @Test
   void campaignsForNextTermOnceKeyIsVacant() {
     leader.keyObserved(0, 4, true, 8);
--- a/leadership/src/test/java/org/amberpath/leadership/SeededRegistryLeadershipSimulation.java
+++ b/leadership/src/test/java/org/amberpath/leadership/SeededRegistryLeadershipSimulation.java
@@ -185,7 +185,7 @@
     }
 
     @Override
-    public void campaign(long campaignTerm, long expectedRevision) {
+    public void campaign(long campaignTerm, long expectedRevision, long requestedAtNanos) {
       actions.record("campaign", name, campaignTerm, expectedRevision);
       sendToRegistry(
           () -> {
@@ -203,9 +203,9 @@
                         () -> {
                           actions.record(won ? "won" : "lost", name, campaignTerm);
                           if (won) {
-                            leadership.campaignWon(clock(), campaignTerm);
+                            leadership.campaignWon(clock(), campaignTerm, requestedAtNanos);
                           } else {
-                            leadership.leaseLost(clock());
+                            leadership.campaignLost(clock(), requestedAtNanos);
                           }
                         }));
           });
