--- a/gateway/src/main/java/org/amberpath/gateway/EndpointDiscovery.java
+++ b/gateway/src/main/java/org/amberpath/gateway/EndpointDiscovery.java
@@ -99,6 +99,11 @@
     }
   }
 
+  /** Returns whether the first list of the source is awaited. */
+  boolean awaitsFirstList() {
+    return source != null && source.awaitsFirstList();
+  }
+
   /** Has the source reread its files; called when the process has received SIGHUP. */
   void reloadSource() {
     if (source != null) {
--- a/gateway/src/main/java/org/amberpath/gateway/EndpointSource.java
+++ b/gateway/src/main/java/org/amberpath/gateway/EndpointSource.java
@@ -22,6 +22,12 @@
   /** Starts watching for endpoints and purges. */
   void start();
 
+  /**
+   * Returns whether the gateway has to wait for the source before it serves: what the source has
+   * reported since {@link #start} may be from an earlier run.
+   */
+  boolean awaitsFirstList();
+
   /**
    * Rereads the files that the source's settings name, such as credentials; called when the process
    * has received SIGHUP.
--- a/gateway/src/main/java/org/amberpath/gateway/Gateway.java
+++ b/gateway/src/main/java/org/amberpath/gateway/Gateway.java
@@ -192,13 +192,14 @@
 
   /**
    * Enters {@link Phase#SERVING}, once the first discovery response was received. Guards against
-   * routing decisions by an endpoint list that is as old as the configuration.
+   * routing decisions by an endpoint list that is as old as the configuration, or as the snapshot
+   * of an earlier run.
    */
   private void serve(Promise<Gateway> started) {
     if (phase != Phase.STARTING) {
       return;
     }
-    if (pipeline.context().discoveryFreshness().awaitsResponse()) {
+    if (pipeline.context().discoveryFreshness().awaitsResponse() || discovery.awaitsFirstList()) {
       vertx.setTimer(FIRST_DISCOVERY_CHECK_MILLIS, timer -> serve(started));
       return;
     }
--- a/gateway/src/test/java/org/amberpath/gateway/GatewayLifecycleTest.java
+++ b/gateway/src/test/java/org/amberpath/gateway/GatewayLifecycleTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
@@ -11,6 +12,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.amberpath.gateway.testsupport.GatewayFixture;
 import org.amberpath.gateway.testsupport.GatewayProcess;
 import org.amberpath.gateway.testsupport.ReceivedCommand;
@@ -23,6 +26,9 @@
 /** Tests starts and shutdowns of gateways, in the test's process and in separate processes. */
 @Timeout(30)
 class GatewayLifecycleTest extends GatewayFixture {
+  /** Longer than a start takes that waits for nothing. */
+  private static final long START_MILLIS = 3000;
+
   @Test
   void gatewayServesAfterAWarmUpOverItsOwnAddress() throws Exception {
     Process process = startProcess(0);
@@ -34,6 +40,42 @@
     }
   }
 
+  /** Guards against routing by an earlier run's snapshot while the registry answers late. */
+  @Test
+  void gatewayServesOnceItsEndpointSourceHasTheFirstList() throws Exception {
+    AtomicBoolean awaitsFirstList = new AtomicBoolean(true);
+    EndpointSource source =
+        new EndpointSource() {
+          @Override
+          public void start() {}
+
+          @Override
+          public boolean awaitsFirstList() {
+            return awaitsFirstList.get();
+          }
+
+          @Override
+          public void reload() {}
+
+          @Override
+          public void close() {}
+        };
+    Gateway gateway =
+        new Gateway(
+            testbed.vertx,
+            GatewayOptions.read(testbed.environment(folder)),
+            new GatewayExtensions((vertx, listener, seed) -> source, null));
+    var started = gateway.start().toCompletionStage().toCompletableFuture();
+
+    assertThrows(TimeoutException.class, () -> started.get(START_MILLIS, TimeUnit.MILLISECONDS));
+    assertEquals(Gateway.Phase.STARTING, gateway.phase());
+
+    awaitsFirstList.set(false);
+    started.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    assertEquals(Gateway.Phase.SERVING, gateway.phase());
+    gateway.stop().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+  }
+
   @Test
   void stoppingGatewayAnswersReceivedAndNewRequests() throws Exception {
     client.sendRequest(1, "parts", 2500, 0);
--- a/registry/src/main/java/org/amberpath/registry/runtime/RegistrySource.java
+++ b/registry/src/main/java/org/amberpath/registry/runtime/RegistrySource.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.amberpath.gateway.EndpointSource;
 import org.amberpath.gateway.discovery.Clock;
+import org.amberpath.registry.FirstListWait;
 import org.amberpath.registry.RegistryView;
 import org.amberpath.registry.Snapshot;
 import org.amberpath.registry.WatchSession;
@@ -51,6 +52,7 @@
   private final Optional<SnapshotWriter> snapshotWriter;
   private final RegistryView view;
   private final WatchSession session;
+  private FirstListWait firstListWait = new FirstListWait(clock.nowNanos());
   private long tickTimer = NO_TIMER;
   private long housekeepingTimer = NO_TIMER;
   private long nextTickNanos = Long.MAX_VALUE;
@@ -105,9 +107,15 @@
         : new ConsulProtocol(settings.prefix(), BLOCKING_READ_NANOS / MS);
   }
 
+  @Override
+  public boolean awaitsFirstList() {
+    return firstListWait.isWaiting(clock.nowNanos(), session.phase() == WatchSession.Phase.CURRENT);
+  }
+
   @Override
   public void start() {
     isRunning = true;
+    firstListWait = new FirstListWait(clock.nowNanos());
     housekeepingTimer =
         vertx.setPeriodic(
             HOUSEKEEPING_MILLIS,
