Lint: records of caches without constructors of eight parameters

Change: callers state cell and weight as they are in the record; the lab has one method for the record of a warm cache. No behaviour is changed.

--- a/gateway/src/main/java/org/amberpath/gateway/GatewayOptions.java
+++ b/gateway/src/main/java/org/amberpath/gateway/GatewayOptions.java
@@ -79,11 +79,7 @@
         document.has("known") ? document.object("known") : new JsonReader("known", Map.of());
     JsonReader limits = document.objectOrEmpty("limits");
     descriptors = intAtLeast(limits, "sockets", DEFAULT_DESCRIPTORS, MIN_DESCRIPTORS);
-    memory =
-        new MemoryBudget(
-            (long) intAtLeast(limits, "memory_mb", DEFAULT_MEMORY_MB, MIN_MEMORY_MB)
-                << BYTES_PER_MB_SHIFT,
-            Runtime.getRuntime().maxMemory());
+    memory = memoryBudget(limits);
     JsonReader settings = document.object("settings");
     routingConfig = new JsonRoutingConfig(seed(document), settings);
     JsonReader bounds = settings.objectOrEmpty("bounds");
@@ -145,6 +141,12 @@
     }
   }
 
+  private static MemoryBudget memoryBudget(JsonReader limits) {
+    int megabytes = intAtLeast(limits, "memory_mb", DEFAULT_MEMORY_MB, MIN_MEMORY_MB);
+    return new MemoryBudget(
+        (long) megabytes << BYTES_PER_MB_SHIFT, Runtime.getRuntime().maxMemory());
+  }
+
   private static int intAtLeast(JsonReader settings, String key, int defaultValue, int min) {
     int value = settings.intOr(key, defaultValue);
     if (value < min) {
--- a/lab/src/main/java/org/amberpath/lab/LoopbackTestbed.java
+++ b/lab/src/main/java/org/amberpath/lab/LoopbackTestbed.java
@@ -12,6 +12,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
 import java.util.function.LongConsumer;
@@ -138,7 +140,14 @@
         Optional.of(
             RecordCodec.encode(
                 new RegistryRecord.Cache(
-                    id, address, LabSettings.ZONE, kind, 0, state, CACHE_WEIGHT, 0))));
+                    id,
+                    address,
+                    LabSettings.ZONE,
+                    kind,
+                    OptionalInt.of(0),
+                    state,
+                    OptionalDouble.of(CACHE_WEIGHT),
+                    0))));
   }
 
   /**
--- a/lab/src/main/java/org/amberpath/lab/registry/RegistrySizeExperiment.java
+++ b/lab/src/main/java/org/amberpath/lab/registry/RegistrySizeExperiment.java
@@ -50,7 +50,7 @@
     String address = "127.0.0.1:" + (MIN_PORT + number % PORTS);
     writes.put(
         VirtualRegistry.PREFIX + "caches/c" + number,
-        new RegistryRecord.Cache("c" + number, address, "z", "box", 0, state, 1, 0));
+        RegistryWorkload.cache("c" + number, address, state));
     writes.put(VirtualRegistry.TIP_KEY, new RegistryRecord.Other());
     registry.write(writes);
   }
--- a/lab/src/main/java/org/amberpath/lab/registry/RegistryWorkload.java
+++ b/lab/src/main/java/org/amberpath/lab/registry/RegistryWorkload.java
@@ -2,6 +2,8 @@
 
 import java.util.HashSet;
 import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
@@ -118,7 +120,13 @@
 
   private RegistryRecord.Cache cache(int number, EndpointState state) {
     String address = "127.0.0.1:" + (MIN_PORT + random.nextInt(PORTS));
-    return new RegistryRecord.Cache("c" + number, address, "z", "box", 0, state, 1, 0);
+    return cache("c" + number, address, state);
+  }
+
+  /** Returns the record of a cache that has long been running. */
+  static RegistryRecord.Cache cache(String id, String address, EndpointState state) {
+    return new RegistryRecord.Cache(
+        id, address, "z", "box", OptionalInt.of(0), state, OptionalDouble.of(1), 0);
   }
 
   private void write(String id, RegistryRecord content, boolean updatesTip) {
--- a/lab/src/test/java/org/amberpath/lab/registry/RecordedEndpointListTest.java
+++ b/lab/src/test/java/org/amberpath/lab/registry/RecordedEndpointListTest.java
@@ -4,6 +4,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import org.amberpath.routing.EndpointListKind;
 import org.amberpath.routing.EndpointState;
 import org.amberpath.routing.ListedEndpoint;
@@ -16,7 +18,8 @@
       new RecordedEndpointList(() -> 0, traceLines::add, violations::add);
 
   private static ListedEndpoint endpoint(EndpointState state) {
-    return new ListedEndpoint("c1", "127.0.0.1:7001", "z", "box", 0, state, 1, 0);
+    return new ListedEndpoint(
+        "c1", "127.0.0.1:7001", "z", "box", OptionalInt.of(0), state, OptionalDouble.of(1), 0);
   }
 
   @Test
--- a/lab/src/test/java/org/amberpath/lab/registry/RegistrySourceTest.java
+++ b/lab/src/test/java/org/amberpath/lab/registry/RegistrySourceTest.java
@@ -164,8 +164,7 @@
         PREFIX + RecordCodec.CACHES_PREFIX + id,
         state == null
             ? null
-            : RecordCodec.encode(
-                new RegistryRecord.Cache(id, "127.0.0.1:7001", "z", "box", 0, state, 1, 0)));
+            : RecordCodec.encode(RegistryWorkload.cache(id, "127.0.0.1:7001", state)));
     writes.put(
         PREFIX + RecordCodec.TIP_KEY,
         Long.toString(System.nanoTime()).getBytes(StandardCharsets.US_ASCII));
@@ -458,8 +457,7 @@
               .orElseThrow()
               .modRevision();
       put("a", EndpointState.DRAINING);
-      RegistryRecord.Cache other =
-          new RegistryRecord.Cache("a", "127.0.0.1:1", "z", "box", 0, EndpointState.UP, 1, 0);
+      RegistryRecord.Cache other = RegistryWorkload.cache("a", "127.0.0.1:1", EndpointState.UP);
       assertFalse(
           EventLoopWaiter.await(
               adminClient.write(PREFIX + RecordCodec.CACHES_PREFIX + "a", other, listedRevision)));
--- a/registry/src/main/java/org/amberpath/registry/RegistryRecord.java
+++ b/registry/src/main/java/org/amberpath/registry/RegistryRecord.java
@@ -24,28 +24,7 @@
       EndpointState state,
       OptionalDouble weight,
       long startedAtMs)
-      implements RegistryRecord {
-    /** Creates a record with a cell and a weight. */
-    public Cache(
-        String id,
-        String address,
-        String zone,
-        String kind,
-        int cell,
-        EndpointState state,
-        double weight,
-        long startedAtMs) {
-      this(
-          id,
-          address,
-          zone,
-          kind,
-          OptionalInt.of(cell),
-          state,
-          OptionalDouble.of(weight),
-          startedAtMs);
-    }
-  }
+      implements RegistryRecord {}
 
   /**
    * A purge of one object or, if {@code object} is 0, of a group.
--- a/registry/src/test/java/org/amberpath/registry/RegistryFixtures.java
+++ b/registry/src/test/java/org/amberpath/registry/RegistryFixtures.java
@@ -1,5 +1,7 @@
 package org.amberpath.registry;
 
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import org.amberpath.routing.EndpointState;
 
 /** Entries and events that the tests of this package share. */
@@ -14,7 +16,8 @@
       String id, EndpointState state, long createRevision, long modRevision) {
     return new RegistryEntry(
         PREFIX + id,
-        new RegistryRecord.Cache(id, "127.0.0.1:1", "z", "k", 0, state, 1, 0),
+        new RegistryRecord.Cache(
+            id, "127.0.0.1:1", "z", "k", OptionalInt.of(0), state, OptionalDouble.of(1), 0),
         createRevision,
         modRevision);
   }
--- a/registry/src/test/java/org/amberpath/registry/SeededRegistryStore.java
+++ b/registry/src/test/java/org/amberpath/registry/SeededRegistryStore.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import org.amberpath.routing.EndpointState;
@@ -108,7 +110,14 @@
     EndpointState state = random.nextInt(3) == 0 ? EndpointState.DRAINING : EndpointState.UP;
     long started = random.nextBoolean() ? 0 : nowMillis - random.nextLong(10_000);
     return new RegistryRecord.Cache(
-        "e" + number, "127.0.0.1:" + (7000 + number), "z", "box", number % 3, state, 4, started);
+        "e" + number,
+        "127.0.0.1:" + (7000 + number),
+        "z",
+        "box",
+        OptionalInt.of(number % 3),
+        state,
+        OptionalDouble.of(4),
+        started);
   }
 
   private void put(String key, RegistryRecord value) {
--- a/registry/src/test/java/org/amberpath/registry/WallClockTest.java
+++ b/registry/src/test/java/org/amberpath/registry/WallClockTest.java
@@ -5,6 +5,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import org.amberpath.routing.EndpointListKind;
 import org.amberpath.routing.EndpointListener;
 import org.amberpath.routing.EndpointState;
@@ -57,7 +59,15 @@
       String id, EndpointState state, long startedMs, long createRevision, long modRevision) {
     long startedAtMillis = startedMs == 0 ? 0 : NOW_NANOS / MS + startedMs;
     RegistryRecord cache =
-        new RegistryRecord.Cache(id, "127.0.0.1:1", "z", "k", 0, state, 1, startedAtMillis);
+        new RegistryRecord.Cache(
+            id,
+            "127.0.0.1:1",
+            "z",
+            "k",
+            OptionalInt.of(0),
+            state,
+            OptionalDouble.of(1),
+            startedAtMillis);
     return new RegistryEntry("p/caches/" + id, cache, createRevision, modRevision);
   }
 
--- a/registry/src/test/java/org/amberpath/registry/runtime/ConsulProtocolTest.java
+++ b/registry/src/test/java/org/amberpath/registry/runtime/ConsulProtocolTest.java
@@ -8,6 +8,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
 import java.util.List;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import org.amberpath.gateway.settings.InvalidDocumentException;
 import org.amberpath.registry.RegistryEntry;
 import org.amberpath.registry.RegistryPage;
@@ -20,7 +22,14 @@
   private static final MultiMap NONE = MultiMap.caseInsensitiveMultiMap();
   private static final RegistryRecord.Cache ENDPOINT =
       new RegistryRecord.Cache(
-          "c1", "127.0.0.1:7001", "z", "box", 3, EndpointState.DRAINING, 4, 1_700_000_000_000L);
+          "c1",
+          "127.0.0.1:7001",
+          "z",
+          "box",
+          OptionalInt.of(3),
+          EndpointState.DRAINING,
+          OptionalDouble.of(4),
+          1_700_000_000_000L);
 
   private final ConsulProtocol consul = new ConsulProtocol("p/", 1000);
 
--- a/registry/src/test/java/org/amberpath/registry/runtime/EtcdProtocolTest.java
+++ b/registry/src/test/java/org/amberpath/registry/runtime/EtcdProtocolTest.java
@@ -11,6 +11,8 @@
 import java.util.Base64;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.amberpath.gateway.settings.InvalidDocumentException;
@@ -29,7 +31,14 @@
   private static final MultiMap NONE = MultiMap.caseInsensitiveMultiMap();
   private static final RegistryRecord.Cache ENDPOINT =
       new RegistryRecord.Cache(
-          "c1", "127.0.0.1:7001", "z", "box", 3, EndpointState.DRAINING, 4, 1_700_000_000_000L);
+          "c1",
+          "127.0.0.1:7001",
+          "z",
+          "box",
+          OptionalInt.of(3),
+          EndpointState.DRAINING,
+          OptionalDouble.of(4),
+          1_700_000_000_000L);
 
   private final EtcdProtocol etcd = new EtcdProtocol("p/");
 
--- a/registry/src/test/java/org/amberpath/registry/runtime/RecordCodecGoldenTest.java
+++ b/registry/src/test/java/org/amberpath/registry/runtime/RecordCodecGoldenTest.java
@@ -7,6 +7,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import org.amberpath.registry.RegistryRecord;
 import org.amberpath.routing.EndpointState;
 import org.junit.jupiter.api.Test;
@@ -26,11 +28,25 @@
     records.put(
         "caches/c-1",
         new RegistryRecord.Cache(
-            "c-1", "192.0.2.1:8080", "z1", "memory", 0, EndpointState.UP, 1, 1700000000123L));
+            "c-1",
+            "192.0.2.1:8080",
+            "z1",
+            "memory",
+            OptionalInt.of(0),
+            EndpointState.UP,
+            OptionalDouble.of(1),
+            1700000000123L));
     records.put(
         "caches/c-2",
         new RegistryRecord.Cache(
-            "c-2", "[2001:db8::1]:8081", "z-2", "disk", 7, EndpointState.DRAINING, 0.25, 0));
+            "c-2",
+            "[2001:db8::1]:8081",
+            "z-2",
+            "disk",
+            OptionalInt.of(7),
+            EndpointState.DRAINING,
+            OptionalDouble.of(0.25),
+            0));
     records.put("purges/one", new RegistryRecord.Purge(0xfedcba9876543210L, 0, 1700000000456L));
     records.put("purges/group", new RegistryRecord.Purge(0, 12, 1700000000789L));
     records.put("tasks/sweep", new RegistryRecord.Task(5, "g-1"));
--- a/registry/src/test/java/org/amberpath/registry/runtime/RecordCodecTest.java
+++ b/registry/src/test/java/org/amberpath/registry/runtime/RecordCodecTest.java
@@ -22,7 +22,14 @@
 class RecordCodecTest {
   private static final RegistryRecord.Cache ENDPOINT =
       new RegistryRecord.Cache(
-          "c1", "127.0.0.1:7001", "z", "box", 3, EndpointState.DRAINING, 4, 1_700_000_000_000L);
+          "c1",
+          "127.0.0.1:7001",
+          "z",
+          "box",
+          OptionalInt.of(3),
+          EndpointState.DRAINING,
+          OptionalDouble.of(4),
+          1_700_000_000_000L);
 
   private static byte[] bytes(String text) {
     return text.replace('\'', '"').getBytes(StandardCharsets.UTF_8);
--- a/registry/src/test/java/org/amberpath/registry/runtime/SnapshotFailureTest.java
+++ b/registry/src/test/java/org/amberpath/registry/runtime/SnapshotFailureTest.java
@@ -17,6 +17,8 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.concurrent.Callable;
 import java.util.function.Function;
 import org.amberpath.registry.RegistryEntry;
@@ -113,16 +115,23 @@
                     "127.0.0.1:7001",
                     "z",
                     "box",
-                    3,
+                    OptionalInt.of(3),
                     EndpointState.DRAINING,
-                    4,
+                    OptionalDouble.of(4),
                     1_700_000_000_000L),
                 3,
                 9),
             new RegistryEntry(
                 "p/caches/c2",
                 new RegistryRecord.Cache(
-                    "c2", "127.0.0.1:7002", "z", "box", 0, EndpointState.UP, 1, 0),
+                    "c2",
+                    "127.0.0.1:7002",
+                    "z",
+                    "box",
+                    OptionalInt.of(0),
+                    EndpointState.UP,
+                    OptionalDouble.of(1),
+                    0),
                 4,
                 4),
             new RegistryEntry(
--- a/registry/src/test/java/org/amberpath/registry/runtime/SnapshotFileTest.java
+++ b/registry/src/test/java/org/amberpath/registry/runtime/SnapshotFileTest.java
@@ -10,6 +10,8 @@
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.zip.CRC32C;
 import org.amberpath.registry.RegistryEntry;
 import org.amberpath.registry.RegistryRecord;
@@ -24,7 +26,14 @@
 class SnapshotFileTest {
   private static final RegistryRecord.Cache ENDPOINT =
       new RegistryRecord.Cache(
-          "c1", "127.0.0.1:7001", "z", "box", 3, EndpointState.DRAINING, 4, 1_700_000_000_000L);
+          "c1",
+          "127.0.0.1:7001",
+          "z",
+          "box",
+          OptionalInt.of(3),
+          EndpointState.DRAINING,
+          OptionalDouble.of(4),
+          1_700_000_000_000L);
   private static final int MAX_BYTES = 10_000;
 
   @TempDir private Path folder;
--- a/registry/src/test/java/org/amberpath/registry/runtime/WallTimesTest.java
+++ b/registry/src/test/java/org/amberpath/registry/runtime/WallTimesTest.java
@@ -5,6 +5,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import org.amberpath.registry.RegistryEntry;
 import org.amberpath.registry.RegistryRecord;
 import org.amberpath.routing.EndpointListKind;
@@ -59,8 +61,18 @@
     monotonicNanos += 1000 * MS;
     times.objectPurged(7, 0, START_MILLIS + 1000);
     times.endpointListed(
-        new ListedEndpoint("a", "", "z", "k", 0, EndpointState.UP, 1, START_MILLIS));
-    times.endpointListed(new ListedEndpoint("b", "", "z", "k", 0, EndpointState.UP, 1, 0));
+        new ListedEndpoint(
+            "a",
+            "",
+            "z",
+            "k",
+            OptionalInt.of(0),
+            EndpointState.UP,
+            OptionalDouble.of(1),
+            START_MILLIS));
+    times.endpointListed(
+        new ListedEndpoint(
+            "b", "", "z", "k", OptionalInt.of(0), EndpointState.UP, OptionalDouble.of(1), 0));
     assertEquals(List.of(0L, 1000L, -1L), agesMillis);
     assertEquals((wallMillis - 500) * MS, times.toUnixNanos(monotonicNanos - 500 * MS));
   }
--- a/routing/src/main/java/org/amberpath/routing/ListedEndpoint.java
+++ b/routing/src/main/java/org/amberpath/routing/ListedEndpoint.java
@@ -32,27 +32,6 @@
   /** The weight of an endpoint for which none is listed. */
   public static final double DEFAULT_WEIGHT = 1;
 
-  /** Creates an endpoint with a listed cell and weight. */
-  public ListedEndpoint(
-      String id,
-      String address,
-      String zone,
-      String kind,
-      int cell,
-      EndpointState state,
-      double weight,
-      long startedAtMillis) {
-    this(
-        id,
-        address,
-        zone,
-        kind,
-        OptionalInt.of(cell),
-        state,
-        OptionalDouble.of(weight),
-        startedAtMillis);
-  }
-
   /** Returns this endpoint at another address, in another state. */
   ListedEndpoint withAddressAndState(String newAddress, EndpointState newState) {
     return new ListedEndpoint(id, newAddress, zone, kind, cell, newState, weight, startedAtMillis);
--- a/routing/src/main/java/org/amberpath/routing/ReadBudget.java
+++ b/routing/src/main/java/org/amberpath/routing/ReadBudget.java
@@ -43,10 +43,10 @@
   /**
    * Records that a turn has read from the client for the last time.
    *
-   * @param lastReadFilled whether the last read got as many bytes as it asked for
+   * @param filled whether the last read got as many bytes as it asked for
    */
-  public void turnEnded(boolean lastReadFilled, long nowNanos) {
-    this.lastReadFilled = lastReadFilled;
+  public void turnEnded(boolean filled, long nowNanos) {
+    lastReadFilled = filled;
     lastReadNanos = nowNanos;
   }
 
--- a/routing/src/test/java/org/amberpath/routing/MergedEndpointListsTest.java
+++ b/routing/src/test/java/org/amberpath/routing/MergedEndpointListsTest.java
@@ -66,9 +66,9 @@
               "127.0.0.1:1",
               "z",
               "k",
-              0,
+              OptionalInt.of(0),
               (EndpointState) idsAndStates[index + 1],
-              1,
+              OptionalDouble.of(1),
               0));
     }
     source.endpointListCompleted();
